Rename our own store client from platform to store

Changed: daemon/src/platform and policy/src/platform are store, PlatformError is StoreError. The settings key and the border types keep their names, which are interface. No behaviour changes, nothing measured.

--- a/cli/src/operator_store.rs
+++ b/cli/src/operator_store.rs
@@ -11,7 +11,7 @@
     long,
     Parser, //
 };
-use daemon::platform::StoreClient;
+use daemon::store::StoreClient;
 use policy::{
     bundle::{
         join_parts,
@@ -20,7 +20,7 @@
         TrustRoot,
         HEAD_KEY, //
     },
-    platform::StoreReply,
+    store::StoreReply,
 };
 use prost::Message;
 use schema::{
--- a/cli/tests/charges.rs
+++ b/cli/tests/charges.rs
@@ -9,7 +9,7 @@
     SystemTime, //
 };
 
-use daemon::platform::StoreClient;
+use daemon::store::StoreClient;
 use policy::charges::{
     roster_key,
     segment_key, //
--- a/daemon/src/bundle_watch.rs
+++ b/daemon/src/bundle_watch.rs
@@ -8,7 +8,7 @@
         part_key,
         HEAD_KEY, //
     },
-    platform::{
+    store::{
         RetryDelay,
         StoreCall,
         StoreReply, //
@@ -32,7 +32,7 @@
     events,
     log_event,
     loop_event::LoopEvent,
-    platform::StoreClient, //
+    store::StoreClient, //
 };
 
 /// Longest wait of one watch.
--- a/daemon/src/daemon_core.rs
+++ b/daemon/src/daemon_core.rs
@@ -66,13 +66,13 @@
     loop_event::LoopEvent,
     metrics::DaemonMetrics,
     peering::PeerLink,
-    platform::StoreClient,
     run_message::MessageWriter,
     running_call::{
         RunningAttempt,
         RunningCall, //
     },
     span_desk::SpanDesk,
+    store::StoreClient,
     vm_poll::replicas_of, //
 };
 
--- a/daemon/src/daemon_error.rs
+++ b/daemon/src/daemon_error.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     peering::PeerError,
-    platform::PlatformError, //
+    store::StoreError, //
 };
 
 /// A failure that ends the process.
@@ -51,7 +51,7 @@
     },
     /// A URL of the platform can't be used.
     #[error("can't use the platform: {0}")]
-    PlatformBad(#[from] PlatformError),
+    PlatformBad(#[from] StoreError),
     /// The port for peers can't be used.
     #[error("can't talk to peers: {0}")]
     PeersFailed(#[from] PeerError),
--- a/daemon/src/head_repair.rs
+++ b/daemon/src/head_repair.rs
@@ -8,7 +8,7 @@
         InForce,
         HEAD_KEY, //
     },
-    platform::{
+    store::{
         StoreCall,
         StoreReply, //
     },
@@ -20,7 +20,7 @@
 use crate::{
     events,
     log_event,
-    platform::StoreClient, //
+    store::StoreClient, //
 };
 
 /// Reads the store's head and, where it is below `held`, writes `held` in its place.
--- a/daemon/src/loop_event.rs
+++ b/daemon/src/loop_event.rs
@@ -7,7 +7,7 @@
         QueryAnswer,
         QueryCall, //
     },
-    platform::StoreReply, //
+    store::StoreReply, //
 };
 use schema::{
     bundle::SignedBundle,
--- a/daemon/src/loop_store.rs
+++ b/daemon/src/loop_store.rs
@@ -14,7 +14,7 @@
     },
     engine::EngineEvent,
     peers::PeerEvent,
-    platform::{
+    store::{
         StoreCall,
         StoreReply, //
     }, //
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -72,12 +72,12 @@
         PeerLink,
         PeerSocket, //
     },
-    platform::{
+    run_control::RunControl,
+    span_desk::SpanDesk,
+    store::{
         StoreClient,
         VmClient, //
     },
-    run_control::RunControl,
-    span_desk::SpanDesk,
     vm_poll::poll_vms, //
 };
 
--- a/daemon/src/platform/http_call.rs
+++ b/daemon/src/store/http_call.rs
@@ -26,7 +26,7 @@
 use serde::de::DeserializeOwned;
 use tokio::time::timeout;
 
-use super::PlatformError;
+use super::StoreError;
 
 /// Largest answer of the platform, in bytes: the VM list of a large fleet.
 const ANSWER_MAX: usize = 64 * 1024 * 1024;
@@ -45,9 +45,9 @@
     ///
     /// # Errors
     ///
-    /// [`PlatformError::BadUrl`].
-    pub(super) fn new(base: &str, patience: Duration) -> Result<Self, PlatformError> {
-        let bad = || PlatformError::BadUrl { url: base.into() };
+    /// [`StoreError::BadUrl`].
+    pub(super) fn new(base: &str, patience: Duration) -> Result<Self, StoreError> {
+        let bad = || StoreError::BadUrl { url: base.into() };
         let uri: http::Uri = base.parse().map_err(|_| bad())?;
         if uri.scheme_str() != Some("http") || uri.authority().is_none() {
             return Err(bad());
@@ -75,27 +75,27 @@
         path: &str,
         body: Vec<u8>,
         patience: Duration,
-    ) -> Result<(StatusCode, Bytes), PlatformError> {
+    ) -> Result<(StatusCode, Bytes), StoreError> {
         let request = Request::builder()
             .method(method)
             .uri(format!("{}{path}", self.base))
             .header(header::CONTENT_TYPE, "application/json")
             .body(Full::new(Bytes::from(body)));
-        let request = request.map_err(|_| PlatformError::BadUrl {
+        let request = request.map_err(|_| StoreError::BadUrl {
             url: format!("{}{path}", self.base),
         })?;
         let exchange = async {
             let response = self.client.request(request).await.map_err(|error| {
                 if error.is_connect() {
-                    PlatformError::NotConnected
+                    StoreError::NotConnected
                 } else {
-                    PlatformError::NoAnswer
+                    StoreError::NoAnswer
                 }
             })?;
             read_answer(response).await
         };
         let answer = timeout(patience, exchange).await;
-        answer.unwrap_or(Err(PlatformError::NoAnswer))
+        answer.unwrap_or(Err(StoreError::NoAnswer))
     }
 }
 
@@ -103,28 +103,28 @@
 ///
 /// # Errors
 ///
-/// [`PlatformError::BadAnswer`].
-pub(super) fn parse_answer<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, PlatformError> {
-    serde_json::from_slice(bytes).map_err(|_| PlatformError::BadAnswer)
+/// [`StoreError::BadAnswer`].
+pub(super) fn parse_answer<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, StoreError> {
+    serde_json::from_slice(bytes).map_err(|_| StoreError::BadAnswer)
 }
 
 /// The error that a status without a meaning of its own stands for.
-pub(super) fn status_error(status: StatusCode) -> PlatformError {
+pub(super) fn status_error(status: StatusCode) -> StoreError {
     if status == StatusCode::TOO_MANY_REQUESTS {
-        return PlatformError::Busy;
+        return StoreError::Busy;
     }
     if status.is_client_error() {
-        return PlatformError::Refused {
+        return StoreError::Refused {
             status: status.as_u16(),
         };
     }
-    PlatformError::NoAnswer
+    StoreError::NoAnswer
 }
 
-async fn read_answer(response: Response<Incoming>) -> Result<(StatusCode, Bytes), PlatformError> {
+async fn read_answer(response: Response<Incoming>) -> Result<(StatusCode, Bytes), StoreError> {
     let status = response.status();
     let body = Limited::new(response.into_body(), ANSWER_MAX);
     let whole = body.collect().await;
-    let whole = whole.map_err(|_| PlatformError::NoAnswer)?;
+    let whole = whole.map_err(|_| StoreError::NoAnswer)?;
     Ok((status, whole.to_bytes()))
 }
--- a/daemon/src/platform/mod.rs
+++ b/daemon/src/store/mod.rs
@@ -1,12 +1,12 @@
 //! Clients of the platform: its store and its list of VMs.
 
 mod http_call;
-mod platform_error;
 mod store_client;
 mod store_counts;
+mod store_error;
 mod vm_list;
 
-pub use platform_error::PlatformError;
 pub use store_client::StoreClient;
 pub use store_counts::StoreCounts;
+pub use store_error::StoreError;
 pub use vm_list::VmClient;
--- a/daemon/src/platform/store_client.rs
+++ b/daemon/src/store/store_client.rs
@@ -14,7 +14,7 @@
     Method,
     StatusCode, //
 };
-use policy::platform::{
+use policy::store::{
     StoreCall,
     StoreReply, //
 };
@@ -32,8 +32,8 @@
         status_error,
         HttpCall, //
     },
-    PlatformError,
     StoreCounts, //
+    StoreError,
 };
 
 /// Calls the store over HTTP. Clones share connections and counters.
@@ -49,8 +49,8 @@
     ///
     /// # Errors
     ///
-    /// [`PlatformError::BadUrl`].
-    pub fn new(base: &str, patience: Duration) -> Result<Self, PlatformError> {
+    /// [`StoreError::BadUrl`].
+    pub fn new(base: &str, patience: Duration) -> Result<Self, StoreError> {
         Ok(Self {
             http: HttpCall::new(base, patience)?,
             patience,
@@ -79,7 +79,7 @@
         reply.unwrap_or_else(|error| {
             self.counts.count_failure();
             match error {
-                PlatformError::Refused { .. } => StoreReply::Refused,
+                StoreError::Refused { .. } => StoreReply::Refused,
                 error if error.surely_not_applied() => StoreReply::Failed,
                 _ => StoreReply::Unsure,
             }
@@ -90,8 +90,8 @@
     ///
     /// # Errors
     ///
-    /// A [`PlatformError`] where there is no answer, or none that parses.
-    pub async fn get(&self, key: &str) -> Result<StoreReply, PlatformError> {
+    /// A [`StoreError`] where there is no answer, or none that parses.
+    pub async fn get(&self, key: &str) -> Result<StoreReply, StoreError> {
         self.counts.count_read();
         let path = format!("/v1/kv/{key}");
         let answer = self
@@ -109,14 +109,14 @@
     ///
     /// # Errors
     ///
-    /// A [`PlatformError`], which tells whether the write surely took no effect.
+    /// A [`StoreError`], which tells whether the write surely took no effect.
     pub async fn write(
         &self,
         key: &str,
         value: &[u8],
         expect: u64,
         lease: u64,
-    ) -> Result<StoreReply, PlatformError> {
+    ) -> Result<StoreReply, StoreError> {
         self.counts.count_write();
         let call = WriteCall {
             value: STANDARD.encode(value),
@@ -151,7 +151,7 @@
         key: &str,
         after: u64,
         wait: Duration,
-    ) -> Result<StoreReply, PlatformError> {
+    ) -> Result<StoreReply, StoreError> {
         self.counts.count_watch();
         let wait_ms = wait.as_millis();
         let path = format!("/v1/watch/{key}?after={after}&wait_ms={wait_ms}");
@@ -170,7 +170,7 @@
     /// # Errors
     ///
     /// As [`StoreClient::get`].
-    pub async fn grant(&self, ttl: Duration) -> Result<StoreReply, PlatformError> {
+    pub async fn grant(&self, ttl: Duration) -> Result<StoreReply, StoreError> {
         let call = LeaseEntry {
             lease: 0,
             ttl_ms: ttl.as_millis() as u64,
@@ -183,8 +183,8 @@
     ///
     /// # Errors
     ///
-    /// As [`StoreClient::get`]; [`PlatformError::Refused`] where the lease has lapsed.
-    pub async fn renew(&self, lease: u64) -> Result<LeaseEntry, PlatformError> {
+    /// As [`StoreClient::get`]; [`StoreError::Refused`] where the lease has lapsed.
+    pub async fn renew(&self, lease: u64) -> Result<LeaseEntry, StoreError> {
         let path = format!("/v1/lease/{lease}");
         self.lease(Method::PUT, &path, &LeaseEntry::default()).await
     }
@@ -194,7 +194,7 @@
     /// # Errors
     ///
     /// As [`StoreClient::renew`].
-    pub async fn revoke(&self, lease: u64) -> Result<(), PlatformError> {
+    pub async fn revoke(&self, lease: u64) -> Result<(), StoreError> {
         self.counts.count_write();
         let path = format!("/v1/lease/{lease}");
         let answer = self
@@ -211,7 +211,7 @@
         method: Method,
         path: &str,
         call: &LeaseEntry,
-    ) -> Result<LeaseEntry, PlatformError> {
+    ) -> Result<LeaseEntry, StoreError> {
         self.counts.count_write();
         let answer = self.http.send(method, path, json(call)?, self.patience);
         match answer.await? {
@@ -221,15 +221,15 @@
     }
 }
 
-fn json(call: &impl Serialize) -> Result<Vec<u8>, PlatformError> {
-    serde_json::to_vec(call).map_err(|_| PlatformError::Refused { status: 0 })
+fn json(call: &impl Serialize) -> Result<Vec<u8>, StoreError> {
+    serde_json::to_vec(call).map_err(|_| StoreError::Refused { status: 0 })
 }
 
-fn found(body: &Bytes) -> Result<StoreReply, PlatformError> {
+fn found(body: &Bytes) -> Result<StoreReply, StoreError> {
     let entry: ValueEntry = parse_answer(body)?;
     let value = STANDARD.decode(&entry.value);
     Ok(StoreReply::Found {
-        value: value.map_err(|_| PlatformError::BadAnswer)?,
+        value: value.map_err(|_| StoreError::BadAnswer)?,
         revision: entry.revision,
     })
 }
--- a/daemon/src/platform/platform_error.rs
+++ b/daemon/src/store/store_error.rs
@@ -4,7 +4,7 @@
 
 /// Why a call to the platform failed.
 #[derive(Debug, Error)]
-pub enum PlatformError {
+pub enum StoreError {
     /// The address in the settings is not a URL of the form `http://host:port`.
     #[error("{url} is not an http URL")]
     BadUrl {
@@ -31,7 +31,7 @@
     BadAnswer,
 }
 
-impl PlatformError {
+impl StoreError {
     /// Whether the call surely took no effect.
     pub fn surely_not_applied(&self) -> bool {
         match self {
--- a/daemon/src/platform/vm_list.rs
+++ b/daemon/src/store/vm_list.rs
@@ -14,7 +14,7 @@
         status_error,
         HttpCall, //
     },
-    PlatformError, //
+    StoreError, //
 };
 
 /// Reads the VM list.
@@ -29,8 +29,8 @@
     ///
     /// # Errors
     ///
-    /// [`PlatformError::BadUrl`].
-    pub fn new(url: &str, patience: Duration) -> Result<Self, PlatformError> {
+    /// [`StoreError::BadUrl`].
+    pub fn new(url: &str, patience: Duration) -> Result<Self, StoreError> {
         Ok(Self {
             http: HttpCall::new(url, patience)?,
             patience,
@@ -41,8 +41,8 @@
     ///
     /// # Errors
     ///
-    /// A [`PlatformError`] where there is no answer, or none that parses.
-    pub async fn read(&self, after: u64) -> Result<Option<VmList>, PlatformError> {
+    /// A [`StoreError`] where there is no answer, or none that parses.
+    pub async fn read(&self, after: u64) -> Result<Option<VmList>, StoreError> {
         let path = format!("?after={after}");
         let answer = self
             .http
--- a/daemon/src/vm_poll.rs
+++ b/daemon/src/vm_poll.rs
@@ -20,7 +20,7 @@
     events,
     log_event,
     loop_event::LoopEvent,
-    platform::VmClient, //
+    store::VmClient, //
 };
 
 /// Reads the list again and again and reports each change.
--- a/daemon/tests/bench/store_kit.rs
+++ b/daemon/tests/bench/store_kit.rs
@@ -4,7 +4,7 @@
 
 use daemon::{
     config::TrustConfig,
-    platform::StoreClient,
+    store::StoreClient,
     DaemonConfig,
     RunControl, //
 };
@@ -19,7 +19,7 @@
         TrustRoot,
         HEAD_KEY, //
     },
-    platform::StoreReply, //
+    store::StoreReply, //
 };
 use prost::Message;
 use schema::{
--- a/daemon/tests/pauses.rs
+++ b/daemon/tests/pauses.rs
@@ -28,7 +28,7 @@
     spec,
     PlainReply, //
 };
-use daemon::platform::StoreClient;
+use daemon::store::StoreClient;
 use ed25519_dalek::SigningKey;
 use policy::bundle::{
     add_signature,
--- a/daemon/tests/platform_store.rs
+++ b/daemon/tests/store_client.rs
@@ -4,12 +4,12 @@
 
 use std::time::Duration;
 
-use daemon::platform::{
-    PlatformError,
+use daemon::store::{
     StoreClient,
+    StoreError,
     VmClient, //
 };
-use policy::platform::{
+use policy::store::{
     StoreCall,
     StoreReply, //
 };
@@ -164,7 +164,7 @@
             StoreReply::Conflict { revision: 0 }
         );
         let gone = client.renew(lease).await.expect_err("lapsed");
-        assert!(matches!(gone, PlatformError::Refused { status: 404 }));
+        assert!(matches!(gone, StoreError::Refused { status: 404 }));
     });
 }
 
@@ -226,7 +226,7 @@
         "http://",
     ] {
         let client = StoreClient::new(url, LONG);
-        assert!(matches!(client, Err(PlatformError::BadUrl { .. })), "{url}");
+        assert!(matches!(client, Err(StoreError::BadUrl { .. })), "{url}");
     }
 }
 
--- a/policy/examples/once_cost.rs
+++ b/policy/examples/once_cost.rs
@@ -27,7 +27,7 @@
         PeerEvent,
         PeerSettings, //
     },
-    platform::{
+    store::{
         StoreCall,
         StoreReply, //
     },
--- a/policy/src/bundle/bundle_repair.rs
+++ b/policy/src/bundle/bundle_repair.rs
@@ -9,7 +9,7 @@
     InForce,
     HEAD_KEY, //
 };
-use crate::platform::StoreCall;
+use crate::store::StoreCall;
 
 /// The calls, in their order, that bring the store's head up to the version in force; none where
 /// the store has it, a later one, or the head of another deployment.
--- a/policy/src/charges/charge_event.rs
+++ b/policy/src/charges/charge_event.rs
@@ -18,7 +18,7 @@
     CopyPeer,
     CopyState, //
 };
-use crate::platform::{
+use crate::store::{
     StoreCall,
     StoreReply, //
 };
--- a/policy/src/charges/charge_ledger.rs
+++ b/policy/src/charges/charge_ledger.rs
@@ -25,7 +25,7 @@
     CopyPeer,
     CopyState, //
 };
-use crate::platform::RetryDelay;
+use crate::store::RetryDelay;
 
 /// An answer that waits for its charge to be copied.
 #[derive(Clone, Debug)]
--- a/policy/src/charges/copy_shelf.rs
+++ b/policy/src/charges/copy_shelf.rs
@@ -29,7 +29,7 @@
     ChargeSettings,
     ChargeToken, //
 };
-use crate::platform::{
+use crate::store::{
     StoreCall,
     StoreReply, //
 };
--- a/policy/src/charges/ledger_roster.rs
+++ b/policy/src/charges/ledger_roster.rs
@@ -21,7 +21,7 @@
     ChargeAction,
     ChargeLedger, //
 };
-use crate::platform::{
+use crate::store::{
     StoreCall,
     StoreReply, //
 };
--- a/policy/src/charges/ledger_store.rs
+++ b/policy/src/charges/ledger_store.rs
@@ -14,7 +14,7 @@
     ChargeLedger,
     ChargeToken, //
 };
-use crate::platform::{
+use crate::store::{
     StoreCall,
     StoreReply, //
 };
--- a/policy/src/claims/claim_desk.rs
+++ b/policy/src/claims/claim_desk.rs
@@ -33,7 +33,7 @@
         ClaimVerdict,
         QueryAnswer, //
     },
-    platform::{
+    store::{
         RetryDelay,
         StoreCall, //
     },
--- a/policy/src/claims/claim_event.rs
+++ b/policy/src/claims/claim_event.rs
@@ -12,7 +12,7 @@
         ClaimVerdict,
         QueryAnswer, //
     },
-    platform::{
+    store::{
         StoreCall,
         StoreReply, //
     },
--- a/policy/src/claims/desk_replies.rs
+++ b/policy/src/claims/desk_replies.rs
@@ -14,7 +14,7 @@
 };
 use crate::{
     engine::ClaimVerdict,
-    platform::StoreReply, //
+    store::StoreReply, //
 };
 
 impl ClaimDesk {
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -10,5 +10,5 @@
 pub mod engine;
 pub mod limits;
 pub mod peers;
-pub mod platform;
 pub mod replicas;
+pub mod store;
--- a/policy/tests/bundle_races.rs
+++ b/policy/tests/bundle_races.rs
@@ -23,7 +23,7 @@
         OfferVerdict,
         HEAD_KEY, //
     },
-    platform::{
+    store::{
         StoreCall,
         StoreReply, //
     },
--- a/policy/tests/charges_kit/mod.rs
+++ b/policy/tests/charges_kit/mod.rs
@@ -22,7 +22,7 @@
         CopyPeer,
         CopyState, //
     },
-    platform::{
+    store::{
         StoreCall,
         StoreReply, //
     },
--- a/policy/tests/claims_desk.rs
+++ b/policy/tests/claims_desk.rs
@@ -28,7 +28,7 @@
         QueryReason,
         ResultItem, //
     },
-    platform::{
+    store::{
         StoreCall,
         StoreReply, //
     },
--- a/policy/tests/claims_schedules.rs
+++ b/policy/tests/claims_schedules.rs
@@ -28,7 +28,7 @@
         QueryAnswer,
         QueryReason, //
     },
-    platform::{
+    store::{
         StoreCall,
         StoreReply, //
     },
--- a/policy/tests/store_kit/mod.rs
+++ b/policy/tests/store_kit/mod.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeMap;
 
-use policy::platform::{
+use policy::store::{
     StoreCall,
     StoreReply, //
 };
--- a/standin/examples/demo/stage.rs
+++ b/standin/examples/demo/stage.rs
@@ -249,7 +249,7 @@
 
 fn accept(store: &StoreServer, signed: &SignedBundle) -> Result<(), StageError> {
     let runtime = new_runtime()?;
-    let client = daemon::platform::StoreClient::new(&store.url(), READY_TIMEOUT)?;
+    let client = daemon::store::StoreClient::new(&store.url(), READY_TIMEOUT)?;
     runtime.block_on(async {
         for (entry, bytes) in split_parts(&signed.body) {
             client.write(&part_key(&entry.digest), bytes, 0, 0).await?;
--- a/standin/examples/demo/stage_error.rs
+++ b/standin/examples/demo/stage_error.rs
@@ -3,7 +3,7 @@
 use std::io;
 
 use daemon::{
-    platform::PlatformError,
+    store::StoreError,
     DaemonError, //
 };
 use policy::bundle::BundleRefusal;
@@ -31,7 +31,7 @@
     Daemon(#[from] DaemonError),
     /// The store.
     #[error("the store: {0}")]
-    Store(#[from] PlatformError),
+    Store(#[from] StoreError),
     /// A daemon's thread ended early.
     #[error("a daemon ended before it had started")]
     DaemonGone,
--- a/standin/examples/rollout/main.rs
+++ b/standin/examples/rollout/main.rs
@@ -31,11 +31,11 @@
         TrustConfig, //
     },
     no_log,
-    platform::{
-        PlatformError,
+    run_blocking,
+    store::{
         StoreClient, //
+        StoreError,
     },
-    run_blocking,
     DaemonConfig,
     RunControl,
     RunHandle,
@@ -53,7 +53,7 @@
         TrustRoot,
         HEAD_KEY, //
     },
-    platform::StoreReply, //
+    store::StoreReply, //
 };
 use prost::Message;
 use schema::{
@@ -217,7 +217,7 @@
         let client = StoreClient::new(&self.store.url(), CALL_TIMEOUT)?;
         let head = signed.head.clone().unwrap_or_default().encode_to_vec();
         let expect = self.revision;
-        let reply: Result<StoreReply, PlatformError> = self.runtime.block_on(async {
+        let reply: Result<StoreReply, StoreError> = self.runtime.block_on(async {
             for (entry, bytes) in split_parts(&signed.body) {
                 client.write(&part_key(&entry.digest), bytes, 0, 0).await?;
             }
--- a/standin/examples/rollout/rollout_error.rs
+++ b/standin/examples/rollout/rollout_error.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 
-use daemon::platform::PlatformError;
+use daemon::store::StoreError;
 use policy::bundle::BundleRefusal;
 use schema::SchemaError;
 use standin::StandinError;
@@ -22,7 +22,7 @@
     #[error("{0}")]
     Bundle(#[from] BundleRefusal),
     #[error("{0}")]
-    Platform(#[from] PlatformError),
+    Platform(#[from] StoreError),
     #[error("{0}")]
     Json(#[from] serde_json::Error),
     #[error("a daemon did not start")]
