Forward by routes on the users' platform: the thin path

Cause: the product served its own interface only. New are the routes and registrations in schema, policy::forward and policy::directory with the decisions, platform/ with the names and calls, and daemon::forward with the sockets.

--- a/daemon/src/caller_port.rs
+++ b/daemon/src/caller_port.rs
@@ -43,8 +43,6 @@
     lifecycle::LifePhase, //
 };
 
-/// A caller has this long to send its headers, and may stay idle this long.
-const HEADER_TIMEOUT: Duration = Duration::from_secs(75);
 /// A connection that has brought no request is kept this long once the daemon drains.
 const UNUSED_LINGER: Duration = Duration::from_secs(1);
 /// Pause after the system refused to accept.
@@ -63,6 +61,8 @@
     pub(crate) header_max: usize,
     /// Most connections at once; more wait in the listener's queue.
     pub(crate) connections_max: usize,
+    /// A caller has this long to send its headers, and may stay idle this long.
+    pub(crate) idle_timeout: Duration,
     /// Tells when to drain.
     pub(crate) view: watch::Receiver<FrontView>,
 }
@@ -98,7 +98,8 @@
         let _ = stream.set_nodelay(true);
         let buffer = (2 * self.header_max).max(BUFFER_MIN);
         let routes = self.routes.clone();
-        connections.spawn_local(serve_connection(stream, routes, buffer, self.view.clone()));
+        let idle = self.idle_timeout;
+        connections.spawn_local(serve_connection(stream, routes, buffer, idle, self.view.clone()));
     }
 }
 
@@ -106,6 +107,7 @@
     stream: TcpStream,
     routes: Router,
     buffer: usize,
+    idle_timeout: Duration,
     mut view: watch::Receiver<FrontView>,
 ) {
     let used = Arc::new(AtomicBool::new(false));
@@ -115,7 +117,7 @@
     };
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEADER_TIMEOUT)
+        .header_read_timeout(idle_timeout)
         .max_buf_size(buffer)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
--- a/daemon/src/daemon_error.rs
+++ b/daemon/src/daemon_error.rs
@@ -6,6 +6,7 @@
     path::PathBuf, //
 };
 
+use platform::PlatformError;
 use schema::SchemaError;
 use thiserror::Error;
 
@@ -28,6 +29,9 @@
     /// The settings are wrong.
     #[error("bad settings: {0}")]
     SettingsBad(#[from] SchemaError),
+    /// The platform's settings file is wrong.
+    #[error("bad settings of the platform: {0}")]
+    BootBad(#[from] PlatformError),
     /// An address can't be listened on.
     #[error("can't listen on {address} for {role}: {error}")]
     ListenFailed {
@@ -67,7 +71,10 @@
     /// The exit code that reports this error.
     pub fn exit_code(&self) -> u8 {
         match self {
-            Self::SettingsUnread { .. } | Self::SettingsBad(_) | Self::PlatformBad(_) => 2,
+            Self::SettingsUnread { .. }
+            | Self::SettingsBad(_)
+            | Self::BootBad(_)
+            | Self::PlatformBad(_) => 2,
             Self::ListenFailed { .. } | Self::PeersFailed(_) => 3,
             Self::RuntimeFailed(_) | Self::ExporterFailed { .. } => 4,
             Self::StopCut { .. } => 5,
--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -80,6 +80,24 @@
     CHARGES_LOST = "E5002" Error "charges lost";
     /// Spans could not be exported.
     SPANS_LOST = "E6001" Warning "spans not exported";
+    /// A request has its answer, or its caller has left.
+    REQUEST_ENDED = "E7001" Info "request ended";
+    /// A request is sent to a further replica of a service.
+    SENT_AGAIN = "E7002" Info "sent to another replica";
+    /// A replica brought no usable reply.
+    ATTEMPT_FAILED = "E7003" Warning "attempt failed";
+    /// A replica is registered, anew or with another state.
+    REPLICA_LISTED = "E7004" Info "replica registered";
+    /// A replica is registered no more.
+    REPLICA_UNLISTED = "E7005" Info "replica gone from the directory";
+    /// A replica gets no work for a while.
+    REPLICA_AVOIDED = "E7006" Warning "replica not reached, avoided";
+    /// A route table took effect.
+    TABLE_APPLIED = "E7007" Info "route table in force";
+    /// An item of the directory can't be read.
+    ITEM_UNREAD = "E7008" Warning "directory item not read";
+    /// The settings file has changed.
+    SETTINGS_CHANGED = "E7009" Info "settings changed, in use from the next start";
 }
 
 /// Logs an event of the catalogue with fields: `log_event!(log, events::READY, "key" => value)`.
--- a/daemon/src/flags.rs
+++ b/daemon/src/flags.rs
@@ -18,6 +18,8 @@
 pub struct DaemonFlags {
     /// The settings file.
     pub settings: PathBuf,
+    /// The settings file that the users' platform writes; instead of `settings`.
+    pub platform: Option<PathBuf>,
     /// Name of the daemon.
     pub name: Option<String>,
     /// Address for callers.
@@ -53,6 +55,10 @@
         .argument("FILE")
         .fallback(PathBuf::from("settings.yaml"))
         .debug_fallback();
+    let platform = long("platform")
+        .help("Run on the users' platform, by the settings file that it writes")
+        .argument("FILE")
+        .optional();
     let name = text("name", "NAME", "Name of this daemon, instead of `name`");
     let caller = address(
         "caller",
@@ -89,6 +95,7 @@
     let check = long("check").help("Check the settings and exit").switch();
     construct!(DaemonFlags {
         settings,
+        platform,
         name,
         caller,
         admin,
--- /dev/null
+++ b/daemon/src/forward/desk_event.rs
@@ -0,0 +1,84 @@
+//! What the forwarding loop is told.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{
+    request,
+    HeaderMap,
+    StatusCode, //
+};
+use platform::DirectoryPage;
+use policy::forward::ReplicaKey;
+use schema::{
+    AttemptId,
+    QueryId, //
+};
+use tokio::sync::oneshot;
+
+use super::replica_exchange::ExchangeEnd;
+
+/// A caller's request on its way to the loop.
+#[derive(Debug)]
+pub(super) struct ArrivedRequest {
+    /// Number of the request.
+    pub(super) query: QueryId,
+    /// Its head.
+    pub(super) head: request::Parts,
+    /// Its body.
+    pub(super) body: Bytes,
+    /// Time since its head was read.
+    pub(super) age: Duration,
+    /// Where the answer goes.
+    pub(super) answer: oneshot::Sender<CallerReply>,
+}
+
+/// An answer on its way to the caller.
+#[derive(Clone, Debug, Default)]
+pub(super) struct CallerReply {
+    /// HTTP status.
+    pub(super) status: StatusCode,
+    /// End-to-end headers.
+    pub(super) headers: HeaderMap,
+    /// The body.
+    pub(super) body: Bytes,
+}
+
+/// What a reading of the directory's store brought.
+#[derive(Debug)]
+pub(super) enum DirectoryNews {
+    /// The store did not answer.
+    StoreLost(&'static str),
+    /// The store answered.
+    StoreAnswered,
+    /// All replicas.
+    Listed(DirectoryPage),
+    /// Changes.
+    Changed(DirectoryPage),
+}
+
+/// An event for the forwarding loop.
+#[derive(Debug)]
+pub(super) enum DeskEvent {
+    /// A caller sent a request.
+    Arrived(Box<ArrivedRequest>),
+    /// A caller closed its connection before it had its answer.
+    CallerGone(QueryId),
+    /// An exchange with a replica is over.
+    ExchangeEnded {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The replica.
+        replica: ReplicaKey,
+        /// What came of it.
+        end: Box<ExchangeEnd>,
+    },
+    /// News of the directory.
+    Directory(DirectoryNews),
+    /// The daemon shall stop; a second time, at once.
+    StopAsked,
+    /// The settings file has changed.
+    SettingsChanged,
+    /// The callers' port is closed.
+    FrontClosed,
+}
--- a/daemon/src/front_view.rs
+++ b/daemon/src/front_view.rs
@@ -2,7 +2,10 @@
 
 use std::sync::Arc;
 
-use schema::DeploymentSpec;
+use schema::{
+    CallerLimits,
+    DeploymentSpec, //
+};
 
 use crate::lifecycle::LifePhase;
 
@@ -13,4 +16,6 @@
     pub(crate) spec: Option<Arc<DeploymentSpec>>,
     /// Where in its life the daemon is.
     pub(crate) phase: LifePhase,
+    /// What callers may send, where requests are forwarded by routes.
+    pub(crate) limits: CallerLimits,
 }
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod events;
 mod exchange;
 mod flags;
+mod forward;
 mod front;
 mod front_view;
 mod head_repair;
@@ -58,6 +59,10 @@
 pub use config::DaemonConfig;
 pub use daemon_error::DaemonError;
 pub use exchange::ExchangeFailure;
+pub use forward::{
+    read_boot,
+    run_forward, //
+};
 pub use flags::{
     daemon_flags,
     DaemonFlags, //
@@ -69,7 +74,8 @@
 };
 pub use logs::{
     no_log,
-    open_log, //
+    open_log,
+    open_stdout_log, //
 };
 pub use peer_entry::PeerEntry;
 pub use reply_check::check_reply;
--- a/daemon/src/loop_life.rs
+++ b/daemon/src/loop_life.rs
@@ -65,6 +65,7 @@
         self.view.send_replace(FrontView {
             spec: self.spec.clone(),
             phase: self.phase(),
+            ..FrontView::default()
         });
     }
 
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,15 +1,22 @@
 //! The daemon's binary: flags, settings, signals, exit codes.
 
-use std::process::ExitCode;
+use std::{
+    path::Path,
+    process::ExitCode, //
+};
 
 use daemon::{
     config::read_settings,
     daemon_flags,
     open_log,
+    open_stdout_log,
+    read_boot,
     run_blocking,
+    run_forward,
     DaemonError,
     DaemonFlags,
-    RunControl, //
+    RunControl,
+    StopReport, //
 };
 
 fn main() -> ExitCode {
@@ -24,17 +31,33 @@
 }
 
 fn serve(flags: &DaemonFlags) -> Result<(), DaemonError> {
+    let report = match &flags.platform {
+        Some(path) => serve_platform(path, flags.check)?,
+        None => serve_settings(flags)?,
+    };
+    match report.cut {
+        0 => Ok(()),
+        requests => Err(DaemonError::StopCut { requests }),
+    }
+}
+
+fn serve_platform(path: &Path, check: bool) -> Result<StopReport, DaemonError> {
+    let boot = read_boot(path)?;
+    if check {
+        return Ok(StopReport::default());
+    }
+    run_forward(boot, open_stdout_log())
+}
+
+fn serve_settings(flags: &DaemonFlags) -> Result<StopReport, DaemonError> {
     let config = read_settings(&flags.settings, |settings| flags.amend(settings))?;
     if flags.check {
-        return Ok(());
+        return Ok(StopReport::default());
     }
     let log = open_log(&config.log);
     let (mut control, handle) = RunControl::new();
     control.signals = true;
     let report = run_blocking(config, log, control)?;
     drop(handle);
-    match report.cut {
-        0 => Ok(()),
-        requests => Err(DaemonError::StopCut { requests }),
-    }
+    Ok(report)
 }
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -91,6 +91,8 @@
 const EXPORT_LINGER: Duration = Duration::from_secs(1);
 /// Connections of operators at once.
 const ADMIN_CONNECTIONS: usize = 64;
+/// A caller has this long to send its headers, and may stay idle this long.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(75);
 
 /// How a daemon ended.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -175,6 +177,7 @@
         routes: front_routes(desk),
         header_max: config.limits.header_bytes as usize,
         connections_max: 2 * config.limits.requests as usize,
+        idle_timeout: IDLE_TIMEOUT,
         view: view.clone(),
     };
     let serving = spawn_local(serve_callers(port, events.clone()));
@@ -190,6 +193,7 @@
         routes: admin_routes(admin_desk),
         header_max: config.limits.header_bytes as usize,
         connections_max: ADMIN_CONNECTIONS,
+        idle_timeout: IDLE_TIMEOUT,
         view: admin_view,
     };
     tasks.spawn_local(admin_port.serve());
@@ -356,7 +360,7 @@
     }
 }
 
-async fn bind(role: &'static str, address: SocketAddr) -> Result<TcpListener, DaemonError> {
+pub(crate) async fn bind(role: &'static str, address: SocketAddr) -> Result<TcpListener, DaemonError> {
     TcpListener::bind(address)
         .await
         .map_err(|error| listen_failed(role, address, error))
--- a/daemon/src/store/http_call.rs
+++ b/daemon/src/store/http_call.rs
@@ -35,7 +35,7 @@
 
 /// A pool of connections to one of the platform's services.
 #[derive(Clone, Debug)]
-pub(super) struct HttpCall {
+pub(crate) struct HttpCall {
     client: Client<HttpConnector, Full<Bytes>>,
     base: String,
 }
@@ -46,7 +46,7 @@
     /// # Errors
     ///
     /// [`StoreError::BadUrl`].
-    pub(super) fn new(base: &str, patience: Duration) -> Result<Self, StoreError> {
+    pub(crate) fn new(base: &str, patience: Duration) -> Result<Self, StoreError> {
         let bad = || StoreError::BadUrl { url: base.into() };
         let uri: http::Uri = base.parse().map_err(|_| bad())?;
         if uri.scheme_str() != Some("http") || uri.authority().is_none() {
@@ -69,7 +69,7 @@
     /// # Errors
     ///
     /// Whether the request surely took no effect is told by the error.
-    pub(super) async fn send(
+    pub(crate) async fn send(
         &self,
         method: Method,
         path: &str,
--- a/daemon/src/store/mod.rs
+++ b/daemon/src/store/mod.rs
@@ -6,6 +6,7 @@
 mod store_error;
 mod vm_list;
 
+pub(crate) use http_call::HttpCall;
 pub use store_client::StoreClient;
 pub use store_counts::StoreCounts;
 pub use store_error::StoreError;
--- a/daemon/src/upstream_link.rs
+++ b/daemon/src/upstream_link.rs
@@ -42,6 +42,8 @@
     pub(crate) used: bool,
     /// When it last became idle.
     pub(crate) idle_since: TimePoint,
+    /// How long it may be idle, where the upstream says so.
+    pub(crate) idle_limit: Option<Duration>,
     driver: AbortHandle,
 }
 
@@ -58,55 +60,63 @@
     }
 }
 
-/// Reports the end of a connection once its socket is closed.
-struct LinkSlot {
-    vm: VmName,
-    events: UnboundedSender<LoopEvent>,
+/// Calls back once a connection's socket is closed.
+struct CloseGuard<F: FnOnce()> {
+    on_close: Option<F>,
 }
 
-impl Drop for LinkSlot {
+impl<F: FnOnce()> Drop for CloseGuard<F> {
     fn drop(&mut self) {
-        // The loop is gone only when the process ends.
-        let _ = self.events.send(LoopEvent::LinkClosed(self.vm.clone()));
+        if let Some(on_close) = self.on_close.take() {
+            on_close();
+        }
+    }
+}
+
+impl UpstreamLink {
+    /// Opens a connection within `patience`; `on_close` is called once its socket is closed.
+    pub(crate) async fn connect(
+        address: SocketAddr,
+        patience: Duration,
+        on_close: impl FnOnce() + 'static,
+    ) -> Option<Self> {
+        let stream = timeout(patience, TcpStream::connect(address))
+            .await
+            .ok()?
+            .ok()?;
+        stream.set_nodelay(true).ok()?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        let guard = CloseGuard {
+            on_close: Some(on_close),
+        };
+        let driver = spawn_local(async move {
+            // An error of the connection also ends its exchange, which reports it. The connection
+            // is dropped before the guard, which is dropped with the task.
+            let _guard = guard;
+            let _ = connection.await;
+        });
+        Some(Self {
+            sender,
+            host: HeaderValue::try_from(address.to_string()).ok()?,
+            used: false,
+            idle_since: TimePoint::default(),
+            idle_limit: None,
+            driver: driver.abort_handle(),
+        })
     }
 }
 
 /// Opens a connection and reports [`LoopEvent::LinkOpened`] or [`LoopEvent::LinkRefused`]. After
 /// the first of the two, [`LoopEvent::LinkClosed`] follows once the socket is closed.
 pub(crate) async fn open_link(vm: VmName, address: SocketAddr, events: UnboundedSender<LoopEvent>) {
-    let event = match connect(&vm, address, &events).await {
+    let (name, closed) = (vm.clone(), events.clone());
+    let on_close = move || {
+        // The loop is gone only when the process ends.
+        let _ = closed.send(LoopEvent::LinkClosed(name));
+    };
+    let event = match UpstreamLink::connect(address, CONNECT_TIMEOUT, on_close).await {
         Some(link) => LoopEvent::LinkOpened(vm, link),
         None => LoopEvent::LinkRefused(vm),
     };
     let _ = events.send(event);
 }
-
-async fn connect(
-    vm: &VmName,
-    address: SocketAddr,
-    events: &UnboundedSender<LoopEvent>,
-) -> Option<UpstreamLink> {
-    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
-        .await
-        .ok()?
-        .ok()?;
-    stream.set_nodelay(true).ok()?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
-    let slot = LinkSlot {
-        vm: vm.clone(),
-        events: events.clone(),
-    };
-    let driver = spawn_local(async move {
-        // An error of the connection also ends its exchange, which reports it. The connection is
-        // dropped before the slot, which is dropped with the task.
-        let _slot = slot;
-        let _ = connection.await;
-    });
-    Some(UpstreamLink {
-        sender,
-        host: HeaderValue::try_from(address.to_string()).ok()?,
-        used: false,
-        idle_since: TimePoint::default(),
-        driver: driver.abort_handle(),
-    })
-}
--- /dev/null
+++ b/policy/src/directory/directory_event.rs
@@ -0,0 +1,18 @@
+//! What follows from a change of the directory.
+
+use schema::{
+    ReplicaEntry,
+    ReplicaName,
+    RouteTable, //
+};
+
+/// A change that takes effect.
+#[derive(Clone, Debug, PartialEq)]
+pub enum DirectoryEvent {
+    /// A newer table is in force.
+    Table(Box<RouteTable>),
+    /// A replica is registered, anew or with other fields.
+    Seen(ReplicaEntry),
+    /// A replica is registered no more.
+    Gone(ReplicaName),
+}
--- /dev/null
+++ b/policy/src/forward/mod.rs
@@ -0,0 +1,55 @@
+//! Forwarding by routes: a request goes to one replica of a service, or to one replica of each
+//! shard, and its answer is the replica's, or the greatest records of all.
+//!
+//! The unit of health, load and budgets is the service, which routes share. Time and replies come
+//! in as events, and what to send and to answer goes out as actions.
+
+mod delivery;
+mod extra_budget;
+mod forward_action;
+mod forward_answer;
+mod forward_engine;
+mod forward_event;
+mod forward_note;
+mod forward_run;
+mod forward_settings;
+mod latency_sketch;
+mod record_merge;
+mod replica_fleet;
+mod replica_record;
+mod route_index;
+mod route_state;
+mod service_state;
+mod settling;
+mod split_wheel;
+
+pub use extra_budget::ExtraBudget;
+pub use forward_action::{
+    ForwardAction,
+    ForwardOrder, //
+};
+pub use forward_answer::{
+    ForwardAnswer,
+    RefusalReason, //
+};
+pub use forward_engine::ForwardEngine;
+pub use forward_event::{
+    ForwardCall,
+    ForwardEvent,
+    ForwardFailure,
+    ForwardReply, //
+};
+pub use forward_note::ForwardNote;
+pub use forward_settings::ForwardSettings;
+pub use latency_sketch::LatencySketch;
+pub use record_merge::{
+    merge_records,
+    RECORD_BYTES, //
+};
+pub use replica_fleet::{
+    PickOutcome,
+    ReplicaFleet, //
+};
+pub use replica_record::ReplicaKey;
+pub use route_index::RouteIndex;
+pub use split_wheel::SplitWheel;
--- /dev/null
+++ b/policy/src/forward/replica_fleet.rs
@@ -0,0 +1,288 @@
+//! All replicas, and the choice among those of a service.
+
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
+
+use rand::{
+    Rng,
+    SeedableRng, //
+};
+use rand_pcg::Pcg64Mcg;
+use schema::{
+    AttemptId,
+    ReplicaEntry,
+    ReplicaName,
+    ServiceName,
+    TimePoint,
+    ZoneName, //
+};
+
+use super::{
+    replica_record::ReplicaRecord,
+    service_state::ServiceState,
+    ExtraBudget,
+    ForwardSettings,
+    LatencySketch,
+    ReplicaKey, //
+};
+
+/// Round trip within a data centre, before any was measured.
+const LINK_ZONE_MS: f64 = 0.5;
+/// Round trip between data centres of a region: twice the 4 ms one way of the deployments.
+const LINK_REGION_MS: f64 = 8.0;
+/// Round trip between regions: twice the 12 ms one way of the deployments.
+const LINK_FAR_MS: f64 = 24.0;
+/// What bytes between data centres of a region cost, as time that their use must save.
+const DISTANCE_REGION_MS: f64 = 4.0;
+/// The same between regions.
+const DISTANCE_FAR_MS: f64 = 10.0;
+/// Median work of a service that has not replied yet.
+const USUAL_MS: f64 = 10.0;
+/// Quantile that stands for the usual work.
+const USUAL_QUANTILE: f32 = 0.5;
+/// Share of a replica's connections that one daemon may hold: the daemons near it share it.
+const CONNECTION_SHARE: u32 = 5;
+/// Connections that a daemon may always hold.
+const CONNECTIONS_MIN: u32 = 2;
+/// Connections to a replica of a service that no table names yet.
+const CONNECTIONS_UNKNOWN: u32 = 10;
+/// Spread of costs by chance, so that equal replicas share the work.
+const CHANCE_MS: f64 = 1.0;
+
+/// What came of asking for a replica.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PickOutcome {
+    /// Send to this one.
+    Picked(ReplicaKey),
+    /// All that would do are at their limit of connections.
+    Busy,
+    /// None will do.
+    Missing,
+}
+
+/// All replicas by service.
+#[derive(Debug)]
+pub struct ReplicaFleet {
+    settings: ForwardSettings,
+    pub(super) services: Vec<ServiceState>,
+    pub(super) records: BTreeMap<ReplicaKey, ReplicaRecord>,
+    places: BTreeMap<ServiceName, usize>,
+    names: BTreeMap<ReplicaName, ReplicaKey>,
+    last_key: u32,
+    random: Pcg64Mcg,
+}
+
+impl ReplicaFleet {
+    /// A fleet without replicas.
+    pub fn new(settings: ForwardSettings) -> Self {
+        Self {
+            random: Pcg64Mcg::seed_from_u64(settings.seed),
+            settings,
+            services: Vec::new(),
+            records: BTreeMap::new(),
+            places: BTreeMap::new(),
+            names: BTreeMap::new(),
+            last_key: 0,
+        }
+    }
+
+    /// Place of a service; services are never forgotten.
+    pub fn service(&mut self, name: &ServiceName) -> usize {
+        if let Some(place) = self.places.get(name) {
+            return *place;
+        }
+        let place = self.services.len();
+        self.services.push(ServiceState {
+            name: name.clone(),
+            members: Vec::new(),
+            budget: ExtraBudget::new(self.settings.extra_ratio, self.settings.extra_window),
+            latency: LatencySketch::default(),
+            connections: CONNECTIONS_UNKNOWN,
+        });
+        self.places.insert(name.clone(), place);
+        place
+    }
+
+    /// Takes an entry of the directory over. Gives the record of an earlier start under the same
+    /// name, which is gone; true where the replica is new or now leaves.
+    pub fn see(&mut self, now: TimePoint, entry: ReplicaEntry) -> (Option<ReplicaKey>, bool) {
+        let known = self.names.get(&entry.name).copied();
+        if let Some(record) = known.and_then(|key| self.records.get_mut(&key)) {
+            let old = &record.entry;
+            let same = old.address == entry.address
+                && old.service == entry.service
+                && old.born_ms == entry.born_ms;
+            if same {
+                let news = old.draining != entry.draining || !record.listed;
+                record.renew(now, entry);
+                return (None, news);
+            }
+        }
+        let replaced = known.filter(|key| self.unlist(*key));
+        self.last_key += 1;
+        let key = ReplicaKey(self.last_key);
+        let service = self.service(&entry.service);
+        self.names.insert(entry.name.clone(), key);
+        let mut record = ReplicaRecord::new(now, entry, service);
+        (record.link_ms, record.distance_cost_ms) = self.distance(&record.entry.zone);
+        self.records.insert(key, record);
+        self.services[service].members.push(key);
+        (replaced, true)
+    }
+
+    /// Takes a replica that the directory no longer has out of use.
+    pub fn lose(&mut self, name: &ReplicaName) -> Option<ReplicaKey> {
+        let key = self.names.remove(name)?;
+        self.unlist(key).then_some(key)
+    }
+
+    /// Chooses a replica of `service`, other than those in `avoid`.
+    pub fn pick(&mut self, now: TimePoint, service: usize, avoid: &[ReplicaKey]) -> PickOutcome {
+        let state = &self.services[service];
+        let usual = usual_ms(state);
+        let limit = connection_limit(state.connections);
+        let mut best: Option<(f64, ReplicaKey)> = None;
+        let mut busy = false;
+        for key in &state.members {
+            let Some(record) = self.records.get(key) else {
+                continue;
+            };
+            if !record.is_usable(now) || avoid.contains(key) {
+                continue;
+            }
+            if record.out.len() >= limit {
+                busy = true;
+                continue;
+            }
+            let chance = self.random.random_range(0.0..CHANCE_MS);
+            let cost = record.cost(now, usual) + chance;
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, *key));
+            }
+        }
+        match best {
+            Some((_, key)) => PickOutcome::Picked(key),
+            None if busy => PickOutcome::Busy,
+            None => PickOutcome::Missing,
+        }
+    }
+
+    /// Whether a service has a replica that may get work.
+    pub fn is_served(&self, now: TimePoint, service: usize) -> bool {
+        let members = self.services[service].members.iter();
+        let mut records = members.filter_map(|key| self.records.get(key));
+        records.any(|record| record.is_usable(now))
+    }
+
+    /// Records a sending.
+    pub(super) fn begin(&mut self, now: TimePoint, key: ReplicaKey, attempt: AttemptId) {
+        if let Some(record) = self.records.get_mut(&key) {
+            record.begin(now, attempt);
+        }
+    }
+
+    /// Records a reply after `latency` and gives the latency without the link's part.
+    pub(super) fn replied(
+        &mut self,
+        now: TimePoint,
+        key: ReplicaKey,
+        latency: Duration,
+    ) -> Duration {
+        let Some(record) = self.records.get_mut(&key) else {
+            return latency;
+        };
+        record.replied(now, latency);
+        let link = Duration::from_secs_f64(record.link_ms / 1000.0);
+        let own = latency.saturating_sub(link);
+        let service = record.service;
+        self.services[service].latency.record(own);
+        own
+    }
+
+    /// Records a failed attempt.
+    pub(super) fn fail(&mut self, now: TimePoint, key: ReplicaKey) {
+        if let Some(record) = self.records.get_mut(&key) {
+            record.failed(now);
+        }
+    }
+
+    /// Records that a replica was not to be reached at its address; gives it with its service and
+    /// the time for which it is avoided.
+    pub(super) fn refuse(
+        &mut self,
+        now: TimePoint,
+        key: ReplicaKey,
+    ) -> Option<(ReplicaName, ServiceName, Duration)> {
+        let record = self.records.get_mut(&key)?;
+        let period = record.refused(now);
+        let entry = &record.entry;
+        Some((entry.name.clone(), entry.service.clone(), period))
+    }
+
+    /// Records an attempt given up after `waited`; true where the replica has been silent for so
+    /// long that its idle connections may be dead too.
+    pub(super) fn unheard(&mut self, now: TimePoint, key: ReplicaKey, waited: Duration) -> bool {
+        let Some(record) = self.records.get_mut(&key) else {
+            return false;
+        };
+        record.unheard(now, waited);
+        record.is_silent(now, waited)
+    }
+
+    /// Removes a record that nothing refers to any more.
+    pub(super) fn sweep(&mut self, key: ReplicaKey) -> bool {
+        let Some(record) = self.records.get(&key) else {
+            return false;
+        };
+        if record.listed || !record.out.is_empty() {
+            return false;
+        }
+        let service = record.service;
+        self.services[service]
+            .members
+            .retain(|member| *member != key);
+        self.records.remove(&key);
+        true
+    }
+
+    /// Round trip to a replica.
+    pub(super) fn link(&self, key: ReplicaKey) -> Duration {
+        let record = self.records.get(&key);
+        Duration::from_secs_f64(record.map_or(0.0, |record| record.link_ms) / 1000.0)
+    }
+
+    fn unlist(&mut self, key: ReplicaKey) -> bool {
+        match self.records.get_mut(&key) {
+            Some(record) => {
+                record.listed = false;
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Round trip to a data centre, and what its use costs beside the time.
+    fn distance(&self, zone: &ZoneName) -> (f64, f64) {
+        if *zone == self.settings.zone {
+            return (LINK_ZONE_MS, 0.0);
+        }
+        let region = |zone: &ZoneName| self.settings.regions.get(zone);
+        if region(zone).is_some() && region(zone) == region(&self.settings.zone) {
+            return (LINK_REGION_MS, DISTANCE_REGION_MS);
+        }
+        (LINK_FAR_MS, DISTANCE_FAR_MS)
+    }
+}
+
+/// Median work of a service, in milliseconds.
+fn usual_ms(state: &ServiceState) -> f64 {
+    let median = state.latency.quantile(USUAL_QUANTILE);
+    median.map_or(USUAL_MS, |median| median.as_secs_f64() * 1000.0)
+}
+
+/// Connections that this daemon may hold to a replica which accepts `accepted` from all.
+fn connection_limit(accepted: u32) -> usize {
+    (accepted / CONNECTION_SHARE).max(CONNECTIONS_MIN) as usize
+}
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -7,7 +7,9 @@
 pub mod bundle;
 pub mod charges;
 pub mod claims;
+pub mod directory;
 pub mod engine;
+pub mod forward;
 pub mod limits;
 pub mod peers;
 pub mod replicas;
--- a/schema/src/lib.rs
+++ b/schema/src/lib.rs
@@ -42,6 +42,9 @@
 mod names;
 mod numbers;
 mod query_print;
+mod replica_entry;
+mod route_spec;
+mod route_table;
 mod schema_error;
 mod shard_plan;
 mod span_set;
@@ -66,7 +69,10 @@
     GroupName,
     OnceKey,
     RegionName,
+    ReplicaName,
     RequestId,
+    RouteName,
+    ServiceName,
     ShardName,
     SignerName,
     UserName,
@@ -83,6 +89,15 @@
     SnapshotId, //
 };
 pub use query_print::QueryPrint;
+pub use replica_entry::ReplicaEntry;
+pub use route_spec::{
+    RouteSpec,
+    RouteTarget, //
+};
+pub use route_table::{
+    CallerLimits,
+    RouteTable, //
+};
 pub use schema_error::SchemaError;
 pub use shard_plan::ShardPlan;
 pub use span_set::SpanSet;
--- a/schema/src/names.rs
+++ b/schema/src/names.rs
@@ -117,6 +117,19 @@
     OnceKey, "idempotency key", 128
 );
 
+text_name!(
+    /// Name of a service: interchangeable replicas behind routes.
+    ServiceName, "service name", 200
+);
+text_name!(
+    /// Name of a route.
+    RouteName, "route name", 200
+);
+text_name!(
+    /// Identity of a replica; another start mostly has another one.
+    ReplicaName, "replica name", 200
+);
+
 fn check_text(what: &'static str, text: &str, max: usize) -> Result<(), SchemaError> {
     if text.is_empty() {
         return Err(SchemaError::EmptyText { what });
