Let two daemons read the store for all, and share the budget's slack by daemons known

Changed: membership (policy::peers) runs on the platform, joined by the seeds; two daemons chosen by rendezvous read the store, the others ask them over the peers' streams and fall back to the store. The slack is divided by all daemons known. A daemon whose clock was set back before a restart takes a later incarnation than the one remembered of it.

--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -98,6 +98,8 @@
     ITEM_UNREAD = "E7008" Warning "directory item not read";
     /// The settings file has changed.
     SETTINGS_CHANGED = "E7009" Info "settings changed, in use from the next start";
+    /// A daemon that reads the directory did not answer.
+    READER_FAILED = "E7010" Warning "reader of the directory did not answer";
 }
 
 /// Logs an event of the catalogue with fields: `log_event!(log, events::READY, "key" => value)`.
--- a/daemon/src/forward/desk_event.rs
+++ b/daemon/src/forward/desk_event.rs
@@ -8,15 +8,25 @@
     HeaderMap,
     StatusCode, //
 };
-use platform::DirectoryPage;
-use policy::forward::ReplicaKey;
+use policy::{
+    directory::FeedPage,
+    forward::ReplicaKey, //
+};
 use schema::{
+    peer::SyncBody,
     AttemptId,
+    DaemonName,
     QueryId, //
 };
 use tokio::sync::oneshot;
 
-use super::replica_exchange::ExchangeEnd;
+use super::{
+    replica_exchange::ExchangeEnd,
+    store_reader::{
+        ReadError,
+        StoreReading, //
+    },
+};
 
 /// A caller's request on its way to the loop.
 #[derive(Debug)]
@@ -44,17 +54,18 @@
     pub(super) body: Bytes,
 }
 
-/// What a reading of the directory's store brought.
+/// What a reading of the directory brought.
 #[derive(Debug)]
 pub(super) enum DirectoryNews {
-    /// The store did not answer.
-    StoreLost(&'static str),
-    /// The store answered.
-    StoreAnswered,
-    /// All replicas.
-    Listed(DirectoryPage),
-    /// Changes.
-    Changed(DirectoryPage),
+    /// The store answered, or did not.
+    StoreRead(Result<StoreReading, ReadError>),
+    /// A reader answered, or did not or is stale.
+    ReaderTold {
+        /// The reader.
+        daemon: DaemonName,
+        /// Its news.
+        page: Option<FeedPage>,
+    },
 }
 
 /// An event for the forwarding loop.
@@ -75,6 +86,8 @@
     },
     /// News of the directory.
     Directory(DirectoryNews),
+    /// A peer told all that it knows, or did not answer.
+    SyncAnswered(Option<SyncBody>),
     /// The daemon shall stop; a second time, at once.
     StopAsked,
     /// The settings file has changed.
--- a/daemon/src/forward/forward_loop.rs
+++ b/daemon/src/forward/forward_loop.rs
@@ -2,7 +2,6 @@
 
 use std::{
     collections::{
-        BTreeSet,
         HashMap, //
     },
     rc::Rc,
@@ -20,14 +19,13 @@
     merged_headers,
     request_id,
     retry_after,
-    time_left,
-    DirectoryChange,
-    DirectoryPage, //
+    time_left, //
 };
 use policy::{
     directory::{
-        DirectoryBook,
-        DirectoryEvent, //
+        DirectoryEvent,
+        DirectoryFeed,
+        FeedStep, //
     },
     forward::{
         ForwardAction,
@@ -40,8 +38,13 @@
         ReplicaKey,
         RouteIndex, //
     },
+    peers::{
+        PeerCore,
+        PeerEvent, //
+    },
 };
 use schema::{
+    peer::stream_body::Body,
     AttemptId,
     QueryId,
     TimePoint, //
@@ -51,6 +54,7 @@
 use tokio::{
     sync::{
         mpsc::UnboundedSender,
+        oneshot,
         watch, //
     },
     task::{
@@ -80,11 +84,16 @@
         millis,
         ForwardNotes, //
     },
+    forward_peers::WaitingCall,
     link_shelf::LinkShelf,
     replica_exchange::{
         run_exchange,
         ExchangeEnd, //
     },
+    store_reader::{
+        ReadError,
+        StoreReader, //
+    },
 };
 use crate::{
     clock::DaemonClock,
@@ -95,7 +104,8 @@
         LifeEvent,
         LifePhase, //
     },
-    log_event, //
+    log_event,
+    peering::PeerLink, //
 };
 
 /// Time in which the balancer takes a VM out that is not ready: two checks a second apart, and the
@@ -103,6 +113,10 @@
 const QUIET_PERIOD: Duration = Duration::from_millis(2_600);
 /// Time kept free before the end of the stop, for the last bytes to leave.
 const STOP_MARGIN: Duration = Duration::from_millis(300);
+/// Interval of the look at whether other daemons are known by now.
+const JOIN_RECHECK: Duration = Duration::from_millis(50);
+/// Longest time between two looks at who reads the directory.
+const FEED_RECHECK: Duration = Duration::from_secs(1);
 /// Interval of the cleaning of idle connections.
 const SWEEP_PERIOD: Duration = Duration::from_secs(1);
 /// When to ask again while there is no configuration: a start takes about that long.
@@ -112,7 +126,16 @@
 pub(super) struct ForwardLoop {
     pub(super) clock: DaemonClock,
     pub(super) engine: ForwardEngine,
-    pub(super) book: DirectoryBook,
+    pub(super) feed: DirectoryFeed,
+    pub(super) reader: StoreReader,
+    pub(super) feed_busy: bool,
+    pub(super) feed_at: TimePoint,
+    pub(super) join_until: TimePoint,
+    pub(super) peers: PeerCore,
+    pub(super) link: PeerLink,
+    pub(super) waiting: Vec<WaitingCall>,
+    pub(super) sync_replies: HashMap<u64, oneshot::Sender<Body>>,
+    pub(super) last_reply: u64,
     pub(super) index: Option<Arc<RouteIndex>>,
     pub(super) calls: HashMap<QueryId, CallDesk>,
     pub(super) running: HashMap<AttemptId, AbortHandle>,
@@ -142,6 +165,10 @@
                 end,
             } => self.end_exchange(now, attempt, replica, *end),
             DeskEvent::Directory(news) => self.take_news(now, news),
+            DeskEvent::SyncAnswered(Some(body)) => {
+                self.tell_peers(now, PeerEvent::SyncReplied { body });
+            }
+            DeskEvent::SyncAnswered(None) => self.tell_peers(now, PeerEvent::SyncFailed),
             DeskEvent::StopAsked => self.stop(now),
             DeskEvent::SettingsChanged => log_event!(self.notes.log, events::SETTINGS_CHANGED),
             DeskEvent::FrontClosed => self.front_closed = true,
@@ -150,9 +177,15 @@
 
     /// When [`Self::fire`] is due.
     pub(super) fn next_wakeup(&self) -> TimePoint {
-        let engine = self.engine.next_wakeup().min(self.book.next_wakeup());
+        let engine = self.engine.next_wakeup().min(self.peers.next_wakeup());
+        let feed = self.feed.next_wakeup().min(self.feed_due());
+        let reading = match self.feed_busy {
+            true => TimePoint::NEVER,
+            false => self.feed_at,
+        };
         let life = self.quiet_until.min(self.stop_by);
-        engine.min(life).min(self.sweep_at)
+        let directory = feed.min(reading);
+        engine.min(directory).min(life).min(self.sweep_at)
     }
 
     /// Does what has come due.
@@ -161,9 +194,17 @@
         if self.engine.next_wakeup() <= now {
             self.decide(now, ForwardEvent::TimerFired);
         }
-        for event in self.book.wake(now) {
-            self.take_directory(now, event);
+        if self.feed.next_wakeup() <= now {
+            let effects = self.feed.wake(now);
+            self.take_effects(now, effects);
+        }
+        if self.feed_due() <= now {
+            self.serve_waiting(now);
         }
+        if self.peers.next_wakeup() <= now {
+            self.tell_peers(now, PeerEvent::TimerFired);
+        }
+        self.drive_feed(now);
         if self.sweep_at <= now {
             self.sweep_at = now + SWEEP_PERIOD;
             self.shelf.sweep(now);
@@ -189,7 +230,7 @@
 
     fn arrive(&mut self, now: TimePoint, arrived: ArrivedRequest) {
         let arrival = now - arrived.age;
-        let (Some(index), true) = (self.index.clone(), self.book.is_ready()) else {
+        let (Some(index), true) = (self.index.clone(), self.feed.is_ready()) else {
             let mut headers = HeaderMap::new();
             retry_after(&mut headers, RETRY_STARTING);
             refuse(arrived, StatusCode::SERVICE_UNAVAILABLE, headers);
@@ -259,7 +300,7 @@
     }
 
     /// Hands an event to the engine and does what it asks for.
-    fn decide(&mut self, now: TimePoint, event: ForwardEvent) {
+    pub(super) fn decide(&mut self, now: TimePoint, event: ForwardEvent) {
         let mut actions = Vec::new();
         self.engine.on_event(now, event, &mut actions);
         for action in actions {
@@ -365,7 +406,7 @@
             self.notes.log, events::REQUEST_ENDED,
             "request" => desk.head.id.to_str().unwrap_or("?"), "route" => %desk.route,
             "result" => result, "age_ms" => millis(age), "sends" => desk.sends,
-            "missing" => missing, "table" => self.book.version().map_or(0, |version| version.0),
+            "missing" => missing, "table" => self.feed.version().map_or(0, |version| version.0),
         );
     }
 
@@ -388,58 +429,83 @@
         self.notes.write(now, note, id.unwrap_or(""));
     }
 
+    /// Starts the next reading of the directory, where none is under way.
+    fn drive_feed(&mut self, now: TimePoint) {
+        if self.feed_busy || now < self.feed_at {
+            return;
+        }
+        if !self.peers.is_joined() && now < self.join_until {
+            self.feed_at = self.join_until.min(now + JOIN_RECHECK);
+            return;
+        }
+        match self.feed.step(now) {
+            FeedStep::Rest { until } => {
+                self.feed_at = until.min(now + FEED_RECHECK);
+                return;
+            }
+            FeedStep::ReadAll => self.read_store(None),
+            FeedStep::ReadChanges { after } => self.read_store(Some(after)),
+            FeedStep::AskPeer {
+                daemon,
+                address,
+                after,
+            } => self.ask_reader(address, daemon, after),
+        }
+        self.feed_busy = true;
+    }
+
+    fn read_store(&self, after: Option<u64>) {
+        self.metrics.store_reads.inc();
+        let reader = self.reader.clone();
+        let events = self.events.clone();
+        spawn_local(async move {
+            let reading = match after {
+                Some(after) => reader.read_changes(after).await,
+                None => reader.read_all().await,
+            };
+            // The loop is gone only when the process ends.
+            let _ = events.send(DeskEvent::Directory(DirectoryNews::StoreRead(reading)));
+        });
+    }
+
     fn take_news(&mut self, now: TimePoint, news: DirectoryNews) {
+        self.feed_busy = false;
+        self.feed_at = now;
         match news {
-            DirectoryNews::StoreLost(cause) => {
-                if self.book.store_lost() {
-                    self.metrics.store_lost.inc();
-                    log_event!(self.notes.log, events::STORE_FAILED, "cause" => cause);
+            DirectoryNews::StoreRead(Ok(reading)) => {
+                for problem in reading.problems {
+                    if self.notes.may_write(now, true) {
+                        let problem = problem.to_string();
+                        log_event!(self.notes.log, events::ITEM_UNREAD, "problem" => problem);
+                    }
                 }
-            }
-            DirectoryNews::StoreAnswered => {
-                if self.book.store_answered(now) {
+                let (effects, back) = self.feed.store_read(now, reading.page);
+                if back {
                     log_event!(self.notes.log, events::STORE_BACK);
                 }
+                self.take_effects(now, effects);
             }
-            DirectoryNews::Changed(page) => {
-                self.take_changes(now, page);
-            }
-            DirectoryNews::Listed(page) => {
-                let names = self.take_changes(now, page);
-                for event in self.book.take_list(now, &names) {
-                    self.take_directory(now, event);
+            DirectoryNews::StoreRead(Err(ReadError::HistoryGone)) => self.feed.history_gone(),
+            DirectoryNews::StoreRead(Err(error)) => {
+                if self.feed.store_failed(now) {
+                    self.metrics.store_lost.inc();
+                    let problem = error.to_string();
+                    log_event!(self.notes.log, events::STORE_FAILED, "problem" => problem);
                 }
             }
+            DirectoryNews::ReaderTold { daemon, page } => self.reader_told(now, &daemon, page),
         }
-        if self.book.is_ready() && self.phase() == LifePhase::Starting {
+        self.serve_waiting(now);
+        if self.feed.is_ready() && self.phase() == LifePhase::Starting {
             self.turn_life(&LifeEvent::Equipped);
         }
     }
 
-    /// Takes changes in and gives the names of the replicas among them.
-    fn take_changes(&mut self, now: TimePoint, page: DirectoryPage) -> BTreeSet<schema::ReplicaName> {
-        let mut names = BTreeSet::new();
-        for change in page.changes {
-            let event = match change {
-                DirectoryChange::Table(table) => self.book.take_table(*table),
-                DirectoryChange::Replica(entry) => {
-                    names.insert(entry.name.clone());
-                    self.book.take_entry(entry)
-                }
-                DirectoryChange::ReplicaGone(name) => self.book.take_removal(now, &name),
-                DirectoryChange::Unread { error, .. } => {
-                    if self.notes.may_write(now, true) {
-                        let problem = error.to_string();
-                        log_event!(self.notes.log, events::ITEM_UNREAD, "problem" => problem);
-                    }
-                    None
-                }
-            };
-            if let Some(event) = event {
-                self.take_directory(now, event);
-            }
+    /// Does what follows from news of the directory.
+    pub(super) fn take_effects(&mut self, now: TimePoint, effects: Vec<DirectoryEvent>) {
+        for effect in effects {
+            self.take_directory(now, effect);
         }
-        names
     }
 
     fn take_directory(&mut self, now: TimePoint, event: DirectoryEvent) {
@@ -466,6 +532,7 @@
         if self.phase() < LifePhase::Quiet {
             self.quiet_until = now + QUIET_PERIOD;
             self.stop_by = now + self.stop_bound.saturating_sub(STOP_MARGIN);
+            self.tell_peers(now, PeerEvent::LeaveAsked);
         }
         self.turn_life(&LifeEvent::StopAsked);
     }
--- a/daemon/src/forward/forward_metrics.rs
+++ b/daemon/src/forward/forward_metrics.rs
@@ -63,6 +63,10 @@
     pub(super) replicas: Gauge,
     /// Version of the table in force.
     pub(super) table: Gauge,
+    /// Daemons known, this one included.
+    pub(super) daemons: Gauge,
+    /// Readings of the directory's store.
+    pub(super) store_reads: Counter,
     /// Times that the directory's store was lost.
     pub(super) store_lost: Counter,
     /// Log lines left out because there were too many.
@@ -86,6 +90,8 @@
             idle: Gauge::default(),
             replicas: Gauge::default(),
             table: Gauge::default(),
+            daemons: Gauge::default(),
+            store_reads: Counter::default(),
             store_lost: Counter::default(),
             lines_dropped: Counter::default(),
         };
@@ -133,6 +139,16 @@
             "Version of the route table in force",
             all.table.clone(),
         );
+        registry.register(
+            "forward_daemons",
+            "Daemons known, this one included",
+            all.daemons.clone(),
+        );
+        registry.register(
+            "forward_store_reads",
+            "Readings of the directory's store",
+            all.store_reads.clone(),
+        );
         registry.register(
             "forward_store_lost",
             "Times that the directory's store was lost",
--- a/daemon/src/forward/mod.rs
+++ b/daemon/src/forward/mod.rs
@@ -2,14 +2,15 @@
 
 mod call_desk;
 mod desk_event;
-mod directory_watch;
 mod forward_front;
 mod forward_loop;
 mod forward_metrics;
 mod forward_notes;
+mod forward_peers;
 mod link_shelf;
 mod replica_exchange;
 mod run_forward;
+mod store_reader;
 
 pub use run_forward::{
     read_boot,
--- a/daemon/src/forward/run_forward.rs
+++ b/daemon/src/forward/run_forward.rs
@@ -24,14 +24,24 @@
     READY_PATH, //
 };
 use policy::{
-    directory::DirectoryBook,
+    directory::{
+        DirectoryFeed,
+        FeedPeer, //
+    },
     forward::{
         ForwardEngine,
         ForwardSettings, //
     },
+    peers::{
+        PeerCore,
+        PeerSettings, //
+    },
 };
 use prometheus_client::registry::Registry;
-use schema::TimePoint;
+use schema::{
+    Incarnation,
+    TimePoint, //
+};
 use slog::Logger;
 use tokio::{
     runtime,
@@ -43,6 +53,7 @@
     sync::{
         mpsc::{
             unbounded_channel,
+            Receiver,
             UnboundedReceiver,
             UnboundedSender, //
         },
@@ -60,7 +71,6 @@
 
 use super::{
     desk_event::DeskEvent,
-    directory_watch::DirectoryWatch,
     forward_front::{
         forward_routes,
         ForwardFront, //
@@ -68,7 +78,8 @@
     forward_loop::ForwardLoop,
     forward_metrics::ForwardMetrics,
     forward_notes::ForwardNotes,
-    link_shelf::LinkShelf, //
+    link_shelf::LinkShelf,
+    store_reader::StoreReader, //
 };
 use crate::{
     caller_port::CallerPort,
@@ -82,6 +93,11 @@
     },
     log_event,
     metrics::encode_metrics,
+    peering::{
+        PeerInput,
+        PeerLink,
+        PeerSocket, //
+    },
     run::{
         bind,
         StopReport, //
@@ -97,6 +113,12 @@
 const ADMIN_CONNECTIONS: usize = 16;
 /// Connect and answer time of the store beside the watch's own.
 const STORE_TIMEOUT: Duration = Duration::from_millis(600);
+/// Key of the daemons' messages: the platform gives no secret, and its network is its own.
+const PEER_KEY: [u8; 32] = [0; 32];
+/// Time to find the other daemons before the store is read, where all start at once.
+const FIRST_JOIN: Duration = Duration::from_millis(1_500);
+/// The same where the others are there already.
+const LATER_JOIN: Duration = Duration::from_millis(250);
 /// Time for the last replies to leave.
 const LAST_LINGER: Duration = Duration::from_millis(100);
 
@@ -168,25 +190,52 @@
     let serving = spawn_local(serve_callers(callers, events.clone()));
     let seed = clock.epoch().0;
     let call = HttpCall::new(&format!("http://{}", boot.store), STORE_TIMEOUT)?;
-    spawn_local(DirectoryWatch::new(call, seed, events.clone()).run());
+    let incarnation = Incarnation(seed);
+    let socket = PeerSocket::bind(boot.peer).await?;
+    let (link, inputs) = PeerLink::serve(socket, PEER_KEY, &boot.vm, &boot.zone, incarnation);
+    let peer_settings = PeerSettings {
+        seeds: boot.seeds,
+        ..PeerSettings::new(
+            boot.vm.clone(),
+            boot.peer,
+            boot.zone.clone(),
+            incarnation,
+            PEER_KEY,
+        )
+    };
+    let own = FeedPeer {
+        daemon: boot.vm.clone(),
+        address: boot.peer,
+        zone: boot.zone.clone(),
+    };
     spawn_local(pass_signals(open_signals()?, events.clone()));
     log_event!(
         log, events::STARTED,
-        "name" => &boot.vm, "caller" => %boot.callers, "admin" => %boot.ready,
-        "peer" => "none",
+        "name" => %boot.vm, "caller" => %boot.callers, "admin" => %boot.ready,
+        "peer" => %boot.peer,
     );
     let settings = ForwardSettings {
         zone: boot.zone,
-        regions: boot.regions,
+        regions: boot.regions.clone(),
         seed,
         extra_ratio: boot.extra_ratio,
+        extra_slack: boot.extra_slack,
         extra_window: boot.extra_window,
     };
     let now = clock.now();
     let mut desk = ForwardLoop {
         clock,
         engine: ForwardEngine::new(settings),
-        book: DirectoryBook::default(),
+        feed: DirectoryFeed::new(own, boot.regions),
+        reader: StoreReader::new(call),
+        feed_busy: false,
+        feed_at: now,
+        join_until: now + if boot.first_start { FIRST_JOIN } else { LATER_JOIN },
+        peers: PeerCore::new(now, peer_settings),
+        link,
+        waiting: Vec::new(),
+        sync_replies: Default::default(),
+        last_reply: 0,
         index: None,
         calls: Default::default(),
         running: Default::default(),
@@ -202,7 +251,7 @@
         sweep_at: now,
         front_closed: false,
     };
-    turn(&mut desk, inbox).await;
+    turn(&mut desk, inbox, inputs).await;
     let cut = desk.calls.len();
     drop(desk);
     // A port that does not close in time has nothing left that could be answered.
@@ -212,13 +261,18 @@
 }
 
 /// The loop.
-async fn turn(desk: &mut ForwardLoop, mut inbox: UnboundedReceiver<DeskEvent>) {
+async fn turn(
+    desk: &mut ForwardLoop,
+    mut inbox: UnboundedReceiver<DeskEvent>,
+    mut inputs: Receiver<PeerInput>,
+) {
     let mut batch = Vec::with_capacity(EVENT_BATCH);
     while desk.phase() != LifePhase::Stopped {
         let due = sleep_until(desk.clock.instant(desk.next_wakeup()).into());
         tokio::select! {
             biased;
             _ = inbox.recv_many(&mut batch, EVENT_BATCH) => {}
+            Some(input) = inputs.recv() => desk.take_input(input),
             () = due => {}
         }
         for event in batch.drain(..) {
--- a/policy/src/directory/directory_event.rs
+++ b/policy/src/directory/directory_event.rs
@@ -5,9 +5,13 @@
     ReplicaName,
     RouteTable, //
 };
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 
 /// A change that takes effect.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum DirectoryEvent {
     /// A newer table is in force.
     Table(Box<RouteTable>),
--- /dev/null
+++ b/policy/src/directory/feed_page.rs
@@ -0,0 +1,19 @@
+//! What daemons tell each other of the directory.
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use super::DirectoryEvent;
+
+/// The changes of the directory up to a revision.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct FeedPage {
+    /// The revision.
+    pub revision: u64,
+    /// Whether these are all entries there are, not the changes since an earlier revision.
+    pub whole: bool,
+    /// The changes, in order.
+    pub events: Vec<DirectoryEvent>,
+}
--- a/policy/src/directory/mod.rs
+++ b/policy/src/directory/mod.rs
@@ -2,6 +2,17 @@
 
 mod directory_book;
 mod directory_event;
+mod directory_feed;
+mod feed_log;
+mod feed_page;
+mod feed_plan;
 
 pub use directory_book::DirectoryBook;
 pub use directory_event::DirectoryEvent;
+pub use directory_feed::{
+    DirectoryFeed,
+    FeedAnswer,
+    FeedStep, //
+};
+pub use feed_page::FeedPage;
+pub use feed_plan::FeedPeer;
--- a/policy/src/forward/delivery.rs
+++ b/policy/src/forward/delivery.rs
@@ -51,13 +51,12 @@
             }
         };
         let extra = part.sent;
-        let budget = &mut self.fleet.services[service].budget;
-        if extra && !budget.spend(now) {
+        if extra && !self.fleet.spend(now, service) {
             run.parts[index].due = now + RECHECK;
             return;
         }
         if !extra {
-            budget.earn(now);
+            self.fleet.services[service].budget.earn(now);
         }
         self.send(now, run, index, key, cause, actions);
     }
--- a/policy/src/forward/extra_budget.rs
+++ b/policy/src/forward/extra_budget.rs
@@ -15,6 +15,7 @@
 #[derive(Clone, Debug)]
 pub struct ExtraBudget {
     ratio: f64,
+    slack: f64,
     width_us: u64,
     first_bucket: u64,
     firsts: [u32; BUCKETS + 1],
@@ -27,6 +28,7 @@
         let micros = u64::try_from(window.as_micros()).unwrap_or(u64::MAX);
         Self {
             ratio,
+            slack: 0.0,
             width_us: (micros / BUCKETS as u64).max(1),
             first_bucket: 0,
             firsts: [0; BUCKETS + 1],
@@ -50,11 +52,16 @@
         true
     }
 
+    /// Takes this daemon's part of what all may send beside the share.
+    pub fn set_slack(&mut self, slack: f64) {
+        self.slack = slack;
+    }
+
     /// Second sends that the window still allows.
     pub fn left(&self) -> f64 {
         let firsts: u32 = self.firsts.iter().sum();
         let extras: u32 = self.extras.iter().sum();
-        f64::from(firsts) * self.ratio - f64::from(extras)
+        f64::from(firsts) * self.ratio + self.slack - f64::from(extras)
     }
 
     /// Drops buckets that have left the window and gives the current one.
--- a/policy/src/forward/forward_engine.rs
+++ b/policy/src/forward/forward_engine.rs
@@ -105,6 +105,7 @@
             ForwardEvent::ReplicaSeen(entry) => self.see(now, entry, actions),
             ForwardEvent::ReplicaGone(name) => self.lose(&name, actions),
             ForwardEvent::TableApplied(index) => self.apply(&index),
+            ForwardEvent::DaemonsCounted { daemons } => self.fleet.set_daemons(daemons),
             ForwardEvent::TimerFired => self.fire(now, actions),
         }
     }
--- a/policy/src/forward/forward_event.rs
+++ b/policy/src/forward/forward_event.rs
@@ -106,6 +106,11 @@
     ReplicaGone(ReplicaName),
     /// A table came into force.
     TableApplied(Arc<RouteIndex>),
+    /// The number of daemons that share the budgets changed.
+    DaemonsCounted {
+        /// All that may be at work, this one included.
+        daemons: u32,
+    },
     /// The time given by `next_wakeup` has come.
     TimerFired,
 }
--- a/policy/src/forward/forward_settings.rs
+++ b/policy/src/forward/forward_settings.rs
@@ -21,6 +21,8 @@
     pub seed: u64,
     /// Second sends to each first one of a service.
     pub extra_ratio: f64,
+    /// Second sends to a service beside that share in each window, over all daemons.
+    pub extra_slack: f64,
     /// Window in which the ratio holds.
     pub extra_window: Duration,
 }
@@ -32,6 +34,7 @@
             regions: BTreeMap::new(),
             seed: 0,
             extra_ratio: 0.2,
+            extra_slack: 0.0,
             extra_window: Duration::from_secs(10),
         }
     }
--- a/policy/src/forward/replica_fleet.rs
+++ b/policy/src/forward/replica_fleet.rs
@@ -48,6 +48,8 @@
 const CONNECTIONS_MIN: u32 = 2;
 /// Connections to a replica of a service that no table names yet.
 const CONNECTIONS_UNKNOWN: u32 = 10;
+/// Part of the slack that is used; the rest is for daemons that this one does not know.
+const SLACK_SHARE: f64 = 0.8;
 /// Spread of costs by chance, so that equal replicas share the work.
 const CHANCE_MS: f64 = 1.0;
 
@@ -71,6 +73,8 @@
     places: BTreeMap<ServiceName, usize>,
     names: BTreeMap<ReplicaName, ReplicaKey>,
     last_key: u32,
+    started: Option<TimePoint>,
+    daemons: u32,
     random: Pcg64Mcg,
 }
 
@@ -85,6 +89,8 @@
             places: BTreeMap::new(),
             names: BTreeMap::new(),
             last_key: 0,
+            started: None,
+            daemons: 0,
         }
     }
 
@@ -105,6 +111,29 @@
         place
     }
 
+    /// Takes the number of daemons that share the budgets.
+    pub(super) fn set_daemons(&mut self, daemons: u32) {
+        self.daemons = daemons;
+    }
+
+    /// Takes a second send out of a service's budget; false where it is used up.
+    pub(super) fn spend(&mut self, now: TimePoint, service: usize) -> bool {
+        let slack = self.slack(now);
+        let budget = &mut self.services[service].budget;
+        budget.set_slack(slack);
+        budget.spend(now)
+    }
+
+    /// This daemon's part of the second sends that all may make beside the share. A daemon that has
+    /// just started has none: it does not know what it spent before.
+    fn slack(&mut self, now: TimePoint) -> f64 {
+        let started = *self.started.get_or_insert(now);
+        if self.daemons < 2 || now.since(started) < self.settings.extra_window {
+            return 0.0;
+        }
+        self.settings.extra_slack * SLACK_SHARE / f64::from(self.daemons)
+    }
+
     /// Takes an entry of the directory over. Gives the record of an earlier start under the same
     /// name, which is gone; true where the replica is new or now leaves.
     pub fn see(&mut self, now: TimePoint, entry: ReplicaEntry) -> (Option<ReplicaKey>, bool) {
--- a/policy/src/peers/note_rules.rs
+++ b/policy/src/peers/note_rules.rs
@@ -114,9 +114,13 @@
 
     /// Raises this daemon's revision above what others say of it.
     fn refute(&mut self, now: TimePoint, said: &PeerMember) {
-        if said.incarnation != self.own.incarnation || said.weight() <= self.own.weight() {
+        if said.weight() <= self.own.weight() {
             return;
         }
+        // An earlier start is remembered with a later time where the clock was set back since.
+        if said.incarnation > self.own.incarnation {
+            self.own.incarnation = schema::Incarnation(said.incarnation.0 + 1);
+        }
         self.own.revision = said.revision + 1;
         self.counts.refuted += 1;
         self.note_own(now);
--- a/schema/src/replica_entry.rs
+++ b/schema/src/replica_entry.rs
@@ -5,6 +5,11 @@
     time::Duration, //
 };
 
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
 use crate::{
     ReplicaName,
     ServiceName,
@@ -12,7 +17,7 @@
 };
 
 /// A registered replica.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ReplicaEntry {
     /// Its identity.
     pub name: ReplicaName,
--- a/schema/src/route_spec.rs
+++ b/schema/src/route_spec.rs
@@ -5,13 +5,18 @@
 use compact_str::CompactString;
 use smallvec::SmallVec;
 
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
 use crate::{
     RouteName,
     ServiceName, //
 };
 
 /// Where the requests of a route go.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum RouteTarget {
     /// To one replica of a service.
     Single(ServiceName),
@@ -29,7 +34,7 @@
 }
 
 /// A route.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct RouteSpec {
     /// Its name.
     pub name: RouteName,
--- a/schema/src/route_table.rs
+++ b/schema/src/route_table.rs
@@ -2,6 +2,11 @@
 
 use std::time::Duration;
 
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
 use crate::{
     BundleVersion,
     RouteSpec,
@@ -9,7 +14,7 @@
 };
 
 /// What a caller may send and how long it may take.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CallerLimits {
     /// Largest header block, in bytes.
     pub header_bytes: usize,
@@ -33,7 +38,7 @@
 }
 
 /// All routes of a deployment at one version.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct RouteTable {
     /// The version. Higher is newer.
     pub version: BundleVersion,
