Hold fewer connections to replicas, and let parts wait in lines by service

In overload requests were all served late, as each shard's queue was served in turn. Changed: all daemons together take six tenths of a replica's connections, and a spare idle one is closed after a second. Parts that find all connections in use wait in a line by service: in turn while it is short, the newest first once it is long, late ones last; a request that can't be in time is refused at once. Second sends keep a margin to the budget (0.92 of the ratio, 0.6 of the slack) and leave half of it to requests that may still be in time.

--- a/daemon/src/forward/link_shelf.rs
+++ b/daemon/src/forward/link_shelf.rs
@@ -13,6 +13,10 @@
 /// Time for which an idle connection is kept whose replica does not say.
 const IDLE_LIMIT: Duration = Duration::from_secs(10);
 
+/// Time for which more than one idle connection to a replica is kept: what a busy moment opened is
+/// not to stay, as replicas accept few.
+const SPARE_LIMIT: Duration = Duration::from_secs(1);
+
 /// Idle connections by replica, the most recently used last.
 #[derive(Debug, Default)]
 pub(super) struct LinkShelf {
@@ -46,6 +50,10 @@
     pub(super) fn sweep(&mut self, now: TimePoint) {
         for links in self.links.values_mut() {
             links.retain(|link| !link.sender.is_closed() && is_fresh(link, now));
+            let last = links.len().saturating_sub(1);
+            let spare = |link: &UpstreamLink| now.since(link.idle_since) >= SPARE_LIMIT;
+            let stale = links[..last].iter().take_while(|link| spare(link)).count();
+            links.drain(..stale);
         }
         self.links.retain(|_, links| !links.is_empty());
     }
--- a/policy/src/forward/delivery.rs
+++ b/policy/src/forward/delivery.rs
@@ -10,6 +10,7 @@
 use super::{
     forward_engine::AttemptTrack,
     forward_run::{
+        ForwardPart,
         ForwardRun,
         PartState, //
     },
@@ -20,7 +21,8 @@
     ForwardOrder,
     ForwardReply,
     PickOutcome,
-    ReplicaKey, //
+    ReplicaKey,
+    WaitingPart, //
 };
 
 /// Time after which a part that could not be sent is tried again.
@@ -42,7 +44,7 @@
         let key = match self.fleet.pick(now, service, &part.tried) {
             PickOutcome::Picked(key) => key,
             PickOutcome::Busy => {
-                run.parts[index].due = now + RECHECK;
+                self.wait(run, index);
                 return;
             }
             PickOutcome::Missing => {
@@ -51,7 +53,8 @@
             }
         };
         let extra = part.sent;
-        if extra && !self.fleet.spend(now, service) {
+        let late = now >= run.goal_at;
+        if extra && !self.fleet.spend(now, service, late) {
             run.parts[index].due = now + RECHECK;
             return;
         }
@@ -61,6 +64,56 @@
         self.send(now, run, index, key, cause, actions);
     }
 
+    /// Lets a part wait in its service's line. One that is under way already goes on waiting for its
+    /// reply too.
+    fn wait(&mut self, run: &mut ForwardRun, index: usize) {
+        let place = WaitingPart {
+            arrived: run.arrived,
+            goal_at: run.goal_at,
+            query: run.query,
+            part: index,
+        };
+        let part = &mut run.parts[index];
+        part.due = TimePoint::NEVER;
+        part.waiting = Some(place);
+        self.fleet.services[part.service].line.join(place);
+    }
+
+    /// Takes a part out of its service's line.
+    pub(super) fn unwait(&mut self, part: &mut ForwardPart) {
+        if let Some(place) = part.waiting.take() {
+            self.fleet.services[part.service].line.leave(&place);
+        }
+    }
+
+    /// Gives replicas that have come free to the parts that wait for them.
+    pub(super) fn serve_lines(&mut self, now: TimePoint, actions: &mut Vec<ForwardAction>) {
+        while let Some(service) = self.freed.pop() {
+            while let Some(place) = self.fleet.services[service].line.next(now) {
+                self.fleet.services[service].line.leave(&place);
+                let Some(mut run) = self.runs.remove(&place.query) else {
+                    continue;
+                };
+                run.parts[place.part].waiting = None;
+                if run.parts[place.part].state != PartState::Open {
+                    self.runs.insert(place.query, run);
+                    continue;
+                }
+                let cause = match run.parts[place.part].sent {
+                    true => "failed",
+                    false => "first",
+                };
+                self.launch(now, &mut run, place.part, cause, actions);
+                let stuck = run.parts[place.part].waiting.is_some();
+                self.runs.insert(place.query, run);
+                self.settle(now, place.query, actions);
+                if stuck {
+                    break;
+                }
+            }
+        }
+    }
+
     /// A part for which no further replica will do: it waits for what is under way, or is lost.
     fn miss(&mut self, now: TimePoint, run: &mut ForwardRun, index: usize) {
         let part = &mut run.parts[index];
@@ -222,6 +275,7 @@
             reply.status < 500
         };
         if usable {
+            self.unwait(part);
             part.state = PartState::Done {
                 stamp: reply.stamp.unwrap_or_default(),
                 records: if gather {
@@ -353,6 +407,9 @@
         self.expiries.remove(&(track.expires, attempt));
         if let Some(record) = self.fleet.records.get_mut(&track.replica) {
             record.end(attempt);
+            if !self.fleet.services[record.service].line.is_empty() {
+                self.freed.push(record.service);
+            }
         }
         Some(track)
     }
--- a/policy/src/forward/extra_budget.rs
+++ b/policy/src/forward/extra_budget.rs
@@ -57,6 +57,12 @@
         self.slack = slack;
     }
 
+    /// Whether at least half of what the window allows is left.
+    pub fn is_half_left(&self) -> bool {
+        let extras: u32 = self.extras.iter().sum();
+        self.left() >= f64::from(extras)
+    }
+
     /// Second sends that the window still allows.
     pub fn left(&self) -> f64 {
         let firsts: u32 = self.firsts.iter().sum();
--- a/policy/src/forward/forward_engine.rs
+++ b/policy/src/forward/forward_engine.rs
@@ -39,6 +39,11 @@
 const GOAL_MARGIN: Duration = Duration::from_millis(14);
 /// Time kept free before a caller's deadline, so that the last answer arrives.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(20);
+/// Part of the time up to its goal that a request may spend in line: the rest is for its work.
+const LINE_SHARE: f64 = 0.5;
+/// Shortest and longest time after which a request that found a long line is to come back.
+const RETRY_CROWDED_MIN: Duration = Duration::from_millis(20);
+const RETRY_CROWDED_MAX: Duration = Duration::from_millis(500);
 /// When to ask again for a service without a replica: a restart takes some seconds, a change of the
 /// directory about one.
 const RETRY_NO_REPLICA: Duration = Duration::from_millis(500);
@@ -70,6 +75,8 @@
     pub(super) timers: BTreeSet<(TimePoint, QueryId)>,
     pub(super) expiries: BTreeSet<(TimePoint, AttemptId)>,
     pub(super) last_attempt: u64,
+    /// Services of which a replica has come free.
+    pub(super) freed: Vec<usize>,
 }
 
 impl ForwardEngine {
@@ -83,6 +90,7 @@
             timers: BTreeSet::new(),
             expiries: BTreeSet::new(),
             last_attempt: 0,
+            freed: Vec::new(),
         }
     }
 
@@ -108,6 +116,7 @@
             ForwardEvent::DaemonsCounted { daemons } => self.fleet.set_daemons(daemons),
             ForwardEvent::TimerFired => self.fire(now, actions),
         }
+        self.serve_lines(now, actions);
     }
 
     /// When `TimerFired` is due; [`TimePoint::NEVER`] where nothing is.
@@ -203,6 +212,14 @@
             actions.push(ForwardAction::Answer { query, answer });
             return;
         }
+        if let Some(retry_after) = self.crowded(now, &run) {
+            let answer = ForwardAnswer::NotRun {
+                reason: RefusalReason::Overload,
+                retry_after,
+            };
+            actions.push(ForwardAction::Answer { query, answer });
+            return;
+        }
         for part in 0..run.parts.len() {
             self.launch(now, &mut run, part, "first", actions);
         }
@@ -210,6 +227,28 @@
         self.settle(now, query, actions);
     }
 
+    /// When to ask again for a request that can't be in time: too many of its services have lines
+    /// that take longer than it has.
+    fn crowded(&self, now: TimePoint, run: &ForwardRun) -> Option<Duration> {
+        // One that is late already may as well wait.
+        if now >= run.goal_at {
+            return None;
+        }
+        let room = run.goal_at.since(now).mul_f64(LINE_SHARE);
+        let mut waits: SmallVec<[Duration; 16]> = SmallVec::new();
+        for part in &run.parts {
+            let wait = self.fleet.services[part.service].line.expected_wait(now);
+            if wait > room {
+                waits.push(wait);
+            }
+        }
+        if run.parts.len() - waits.len() >= run.needed {
+            return None;
+        }
+        let shortest = waits.into_iter().min()?;
+        Some(shortest.clamp(RETRY_CROWDED_MIN, RETRY_CROWDED_MAX))
+    }
+
     /// Places of the services that a new request goes to.
     fn services_of(&mut self, route: &RouteName, target: &RouteTarget) -> SmallVec<[usize; 16]> {
         match target {
--- a/policy/src/forward/forward_run.rs
+++ b/policy/src/forward/forward_run.rs
@@ -18,7 +18,8 @@
 
 use super::{
     ReplicaKey,
-    RouteIndex, //
+    RouteIndex,
+    WaitingPart, //
 };
 
 /// How far one service of a request has come.
@@ -54,6 +55,8 @@
     pub(super) sent: bool,
     /// When the part is looked at again.
     pub(super) due: TimePoint,
+    /// Its place in the service's line, where it waits for a replica.
+    pub(super) waiting: Option<WaitingPart>,
     /// A failing reply that is relayed when nothing better comes.
     pub(super) fallback: Option<AttemptId>,
 }
@@ -68,6 +71,7 @@
             ran: 0,
             sent: false,
             due: TimePoint::NEVER,
+            waiting: None,
             fallback: None,
         }
     }
--- a/policy/src/forward/mod.rs
+++ b/policy/src/forward/mod.rs
@@ -22,6 +22,7 @@
 mod service_state;
 mod settling;
 mod split_wheel;
+mod wait_line;
 
 pub use extra_budget::ExtraBudget;
 pub use forward_action::{
@@ -53,3 +54,7 @@
 pub use replica_record::ReplicaKey;
 pub use route_index::RouteIndex;
 pub use split_wheel::SplitWheel;
+pub use wait_line::{
+    WaitLine,
+    WaitingPart, //
+};
--- a/policy/src/forward/replica_fleet.rs
+++ b/policy/src/forward/replica_fleet.rs
@@ -25,7 +25,8 @@
     ExtraBudget,
     ForwardSettings,
     LatencySketch,
-    ReplicaKey, //
+    ReplicaKey,
+    WaitLine, //
 };
 
 /// Round trip within a data centre, before any was measured.
@@ -42,14 +43,20 @@
 const USUAL_MS: f64 = 10.0;
 /// Quantile that stands for the usual work.
 const USUAL_QUANTILE: f32 = 0.5;
-/// Share of a replica's connections that one daemon may hold: the daemons near it share it.
-const CONNECTION_SHARE: u32 = 5;
+/// Part of a replica's connections that all daemons together take. The rest is for those that daemons
+/// held which have lost their power: a replica keeps such connections until its idle timeout.
+const CONNECTION_SHARE: f64 = 0.6;
+/// Daemons that share the connections until others are known.
+const DAEMONS_GUESS: u32 = 8;
 /// Connections that a daemon may always hold.
-const CONNECTIONS_MIN: u32 = 2;
+const CONNECTIONS_MIN: usize = 2;
 /// Connections to a replica of a service that no table names yet.
 const CONNECTIONS_UNKNOWN: u32 = 10;
-/// Part of the slack that is used; the rest is for daemons that this one does not know.
-const SLACK_SHARE: f64 = 0.8;
+/// Part of the slack that is used; the rest is for daemons that this one does not know, and for sends
+/// of an earlier window that arrive late.
+const SLACK_SHARE: f64 = 0.6;
+/// Part of the ratio that is used, for the same reason.
+const RATIO_SHARE: f64 = 0.92;
 /// Spread of costs by chance, so that equal replicas share the work.
 const CHANCE_MS: f64 = 1.0;
 
@@ -103,7 +110,11 @@
         self.services.push(ServiceState {
             name: name.clone(),
             members: Vec::new(),
-            budget: ExtraBudget::new(self.settings.extra_ratio, self.settings.extra_window),
+            budget: ExtraBudget::new(
+                self.settings.extra_ratio * RATIO_SHARE,
+                self.settings.extra_window,
+            ),
+            line: WaitLine::default(),
             latency: LatencySketch::default(),
             connections: CONNECTIONS_UNKNOWN,
         });
@@ -117,11 +128,12 @@
     }
 
     /// Takes a second send out of a service's budget; false where it is used up.
-    pub(super) fn spend(&mut self, now: TimePoint, service: usize) -> bool {
+    /// `late` requests leave half of it to those that may still be in time.
+    pub(super) fn spend(&mut self, now: TimePoint, service: usize, late: bool) -> bool {
         let slack = self.slack(now);
         let budget = &mut self.services[service].budget;
         budget.set_slack(slack);
-        budget.spend(now)
+        (!late || budget.is_half_left()) && budget.spend(now)
     }
 
     /// This daemon's part of the second sends that all may make beside the share. A daemon that has
@@ -171,9 +183,8 @@
     pub fn pick(&mut self, now: TimePoint, service: usize, avoid: &[ReplicaKey]) -> PickOutcome {
         let state = &self.services[service];
         let usual = usual_ms(state);
-        let limit = connection_limit(state.connections);
-        let mut best: Option<(f64, ReplicaKey)> = None;
-        let mut busy = false;
+        let limit = self.connection_limit(state.connections);
+        let mut best: Option<(f64, ReplicaKey, bool)> = None;
         for key in &state.members {
             let Some(record) = self.records.get(key) else {
                 continue;
@@ -181,19 +192,19 @@
             if !record.is_usable(now) || avoid.contains(key) {
                 continue;
             }
-            if record.out.len() >= limit {
-                busy = true;
-                continue;
-            }
+            // It is worth waiting for one whose connections are all in use where the others are
+            // slower still.
+            let busy = record.out.len() >= limit;
+            let wait = if busy { usual } else { 0.0 };
             let chance = self.random.random_range(0.0..CHANCE_MS);
-            let cost = record.cost(now, usual) + chance;
-            if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, *key));
+            let cost = record.cost(now, usual) + wait + chance;
+            if best.is_none_or(|(least, _, _)| cost < least) {
+                best = Some((cost, *key, busy));
             }
         }
         match best {
-            Some((_, key)) => PickOutcome::Picked(key),
-            None if busy => PickOutcome::Busy,
+            Some((_, key, false)) => PickOutcome::Picked(key),
+            Some((_, _, true)) => PickOutcome::Busy,
             None => PickOutcome::Missing,
         }
     }
@@ -226,7 +237,9 @@
         let link = Duration::from_secs_f64(record.link_ms / 1000.0);
         let own = latency.saturating_sub(link);
         let service = record.service;
-        self.services[service].latency.record(own);
+        let state = &mut self.services[service];
+        state.latency.record(own);
+        state.line.count_reply(now);
         own
     }
 
@@ -282,6 +295,16 @@
         Duration::from_secs_f64(record.map_or(0.0, |record| record.link_ms) / 1000.0)
     }
 
+    /// Connections that this daemon may hold to a replica which accepts `accepted` from all.
+    fn connection_limit(&self, accepted: u32) -> usize {
+        let daemons = match self.daemons {
+            0 | 1 => DAEMONS_GUESS,
+            daemons => daemons,
+        };
+        let share = f64::from(accepted) * CONNECTION_SHARE / f64::from(daemons);
+        (share as usize).max(CONNECTIONS_MIN)
+    }
+
     fn unlist(&mut self, key: ReplicaKey) -> bool {
         match self.records.get_mut(&key) {
             Some(record) => {
@@ -311,7 +334,3 @@
     median.map_or(USUAL_MS, |median| median.as_secs_f64() * 1000.0)
 }
 
-/// Connections that this daemon may hold to a replica which accepts `accepted` from all.
-fn connection_limit(accepted: u32) -> usize {
-    (accepted / CONNECTION_SHARE).max(CONNECTIONS_MIN) as usize
-}
--- a/policy/src/forward/service_state.rs
+++ b/policy/src/forward/service_state.rs
@@ -5,7 +5,8 @@
 use super::{
     ExtraBudget,
     LatencySketch,
-    ReplicaKey, //
+    ReplicaKey,
+    WaitLine, //
 };
 
 /// A service with its replicas.
@@ -17,6 +18,8 @@
     pub(super) members: Vec<ReplicaKey>,
     /// Second sends.
     pub(super) budget: ExtraBudget,
+    /// Parts that wait for a replica.
+    pub(super) line: WaitLine,
     /// Latencies of its replies without the link's part.
     pub(super) latency: LatencySketch,
     /// Connections that each replica accepts from all callers together.
--- a/policy/src/forward/settling.rs
+++ b/policy/src/forward/settling.rs
@@ -85,10 +85,13 @@
         answer: ForwardAnswer,
         actions: &mut Vec<ForwardAction>,
     ) {
-        let Some(run) = self.runs.remove(&query) else {
+        let Some(mut run) = self.runs.remove(&query) else {
             return;
         };
         self.timers.remove(&(run.wake_at, query));
+        for part in &mut run.parts {
+            self.unwait(part);
+        }
         let linger = run.spec().idempotent;
         for attempt in run.parts.iter().flat_map(|part| &part.out) {
             if !linger {
@@ -111,10 +114,13 @@
         query: QueryId,
         actions: &mut Vec<ForwardAction>,
     ) {
-        let Some(run) = self.runs.remove(&query) else {
+        let Some(mut run) = self.runs.remove(&query) else {
             return;
         };
         self.timers.remove(&(run.wake_at, query));
+        for part in &mut run.parts {
+            self.unwait(part);
+        }
         for attempt in run.parts.iter().flat_map(|part| &part.out) {
             self.cancel(now, *attempt, actions);
         }
