Read the whole directory after a gap; let a reader without the store ask the other

Changed: after four seconds without news all is read; the body of an answer has 3 s of its own; a reader that the store turns away asks the other reader meanwhile. Tests first: a_reader_without_the_store_asks_the_other, after_a_long_gap_all_is_read. Ruled out: the machine's processor (0.6 % used) and the store's refusals, over by then.

--- a/daemon/src/forward/run_forward.rs
+++ b/daemon/src/forward/run_forward.rs
@@ -113,6 +113,8 @@
 const ADMIN_CONNECTIONS: usize = 16;
 /// Connect and answer time of the store beside the watch's own.
 const STORE_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time for the body of the store's answer: a configuration of a megabyte over a slow link.
+const STORE_BODY_TIME: Duration = Duration::from_secs(3);
 /// Key of the daemons' messages: the platform gives no secret, and its network is its own.
 const PEER_KEY: [u8; 32] = [0; 32];
 /// Time to find the other daemons before the store is read, where all start at once.
@@ -189,7 +191,8 @@
     }
     let serving = spawn_local(serve_callers(callers, events.clone()));
     let seed = clock.epoch().0;
-    let call = HttpCall::new(&format!("http://{}", boot.store), STORE_TIMEOUT)?;
+    let call = HttpCall::new(&format!("http://{}", boot.store), STORE_TIMEOUT)?
+        .with_body_patience(STORE_BODY_TIME);
     let incarnation = Incarnation(seed);
     let socket = PeerSocket::bind(boot.peer).await?;
     let (link, inputs) = PeerLink::serve(socket, PEER_KEY, &boot.vm, &boot.zone, incarnation);
--- a/daemon/src/store/http_call.rs
+++ b/daemon/src/store/http_call.rs
@@ -24,7 +24,11 @@
     rt::TokioExecutor, //
 };
 use serde::de::DeserializeOwned;
-use tokio::time::timeout;
+use tokio::time::{
+    timeout,
+    timeout_at,
+    Instant, //
+};
 
 use super::StoreError;
 
@@ -38,6 +42,7 @@
 pub(crate) struct HttpCall {
     client: Client<HttpConnector, Full<Bytes>>,
     base: String,
+    body_patience: Duration,
 }
 
 impl HttpCall {
@@ -61,10 +66,20 @@
         Ok(Self {
             client,
             base: base.trim_end_matches('/').into(),
+            body_patience: Duration::ZERO,
         })
     }
 
-    /// Sends a request and reads its whole answer within `patience`.
+    /// The same pool, which gives an answer that has begun this long beside the patience of its
+    /// call: the answers' sizes differ widely.
+    pub(crate) fn with_body_patience(self, body_patience: Duration) -> Self {
+        Self {
+            body_patience,
+            ..self
+        }
+    }
+
+    /// Sends a request and reads its whole answer within `patience`, and the time for its body.
     ///
     /// # Errors
     ///
@@ -84,17 +99,17 @@
         let request = request.map_err(|_| StoreError::BadUrl {
             url: format!("{}{path}", self.base),
         })?;
-        let exchange = async {
-            let response = self.client.request(request).await.map_err(|error| {
-                if error.is_connect() {
-                    StoreError::NotConnected
-                } else {
-                    StoreError::NoAnswer
-                }
-            })?;
-            read_answer(response).await
-        };
-        let answer = timeout(patience, exchange).await;
+        let start = Instant::now();
+        let head = timeout(patience, self.client.request(request)).await;
+        let response = head.map_err(|_| StoreError::NoAnswer)?.map_err(|error| {
+            if error.is_connect() {
+                StoreError::NotConnected
+            } else {
+                StoreError::NoAnswer
+            }
+        })?;
+        let end = start + patience + self.body_patience;
+        let answer = timeout_at(end, read_answer(response)).await;
         answer.unwrap_or(Err(StoreError::NoAnswer))
     }
 }
--- a/policy/src/directory/directory_feed.rs
+++ b/policy/src/directory/directory_feed.rs
@@ -33,6 +33,8 @@
 /// time, so that a watch never waits: the pause decides how many calls are made. With the time in
 /// which a dead reader is noticed it stays within the 3 s in which a drain takes effect.
 const READ_PERIOD: Duration = Duration::from_millis(1_000);
+/// Time after which all is read, not the changes: renewals of a long time take longer to read.
+const GAP_PERIOD: Duration = Duration::from_secs(4);
 /// Age from which what was read is not passed on: two readings and the time of a call.
 const FRESH_PERIOD: Duration = Duration::from_millis(1_600);
 /// Longest time for which a question of another daemon waits for news.
@@ -87,6 +89,8 @@
     revision: Option<u64>,
     /// When the store was last read by this daemon itself.
     read_at: Option<TimePoint>,
+    /// When anything was last read.
+    told_at: TimePoint,
     next_read: TimePoint,
     failures: u32,
 }
@@ -100,6 +104,7 @@
             plan: FeedPlan::new(own, regions),
             revision: None,
             read_at: None,
+            told_at: TimePoint(0),
             next_read: TimePoint(0),
             failures: 0,
         }
@@ -127,8 +132,10 @@
                 until: self.next_read,
             },
             FeedSource::Store => match self.revision {
-                Some(after) => FeedStep::ReadChanges { after },
-                None => FeedStep::ReadAll,
+                Some(after) if now.since(self.told_at) < GAP_PERIOD => {
+                    FeedStep::ReadChanges { after }
+                }
+                _ => FeedStep::ReadAll,
             },
             FeedSource::Peer(peer) => FeedStep::AskPeer {
                 daemon: peer.daemon,
@@ -172,6 +179,7 @@
         let back = self.book.store_answered(now);
         // A reader that is behind tells what has changed since.
         if self.revision.is_some_and(|known| page.revision < known) {
+            self.told_at = now;
             return (Vec::new(), back);
         }
         (self.take_page(now, page), back)
@@ -212,6 +220,7 @@
             self.log.restart(page.revision);
         }
         self.log.reach(page.revision);
+        self.told_at = now;
         self.revision = Some(page.revision);
         let mut names = BTreeSet::new();
         let mut effects = Vec::new();
--- a/policy/src/directory/feed_plan.rs
+++ b/policy/src/directory/feed_plan.rs
@@ -25,7 +25,7 @@
 /// Pause before the next call of a daemon that is no reader and did not reach the store, for each
 /// daemon: together they make a few calls a second.
 const STORE_AVOID_EACH: Duration = Duration::from_millis(60);
-/// Shortest such pause.
+/// Shortest such pause, and that of a reader.
 const STORE_AVOID_MIN: Duration = Duration::from_millis(600);
 
 /// Another daemon, as the plan needs it.
@@ -92,13 +92,17 @@
     /// Notes that the store did not answer.
     pub(super) fn store_failed(&mut self, now: TimePoint) {
         let daemons = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
-        let pause = STORE_AVOID_EACH.saturating_mul(daemons);
+        let pause = match self.is_reader() {
+            true => STORE_AVOID_MIN,
+            false => STORE_AVOID_EACH.saturating_mul(daemons),
+        };
         self.store_from = now + pause.max(STORE_AVOID_MIN);
     }
 
     /// Where to read next.
     pub(super) fn source(&mut self, now: TimePoint) -> FeedSource {
-        if self.is_reader() {
+        // A reader that is not served by the store asks the other one meanwhile.
+        if self.is_reader() && now >= self.store_from {
             return FeedSource::Store;
         }
         self.avoided.retain(|_, until| now < *until);
--- a/policy/tests/directory.rs
+++ b/policy/tests/directory.rs
@@ -254,6 +254,33 @@
     assert!(follower.peer_told(NOW, stale).0.is_empty());
 }
 
+/// A reader that the store turns away asks the other one, and comes back to the store.
+#[test]
+fn a_reader_without_the_store_asks_the_other() {
+    let mut feeds = feeds(10);
+    let mut all = feeds.values_mut();
+    let feed = all
+        .find_map(|feed| (feed.step(NOW) == FeedStep::ReadAll).then_some(feed))
+        .unwrap();
+    feed.store_read(NOW, whole(10));
+    feed.store_failed(NOW + ms(1_000));
+    let step = feed.step(NOW + ms(1_000));
+    assert!(matches!(step, FeedStep::AskPeer { after: Some(10), .. }), "{step:?}");
+    let step = feed.step(NOW + ms(1_900));
+    assert_eq!(step, FeedStep::ReadChanges { after: 10 });
+}
+
+/// The renewals of a long time are more than the directory itself, and take longer to read than an
+/// answer may.
+#[test]
+fn after_a_long_gap_all_is_read() {
+    let mut feed = DirectoryFeed::new(peer("r"), BTreeMap::new());
+    feed.store_read(NOW, whole(10));
+    feed.store_failed(NOW + ms(1_000));
+    assert_eq!(feed.step(NOW + ms(3_000)), FeedStep::ReadChanges { after: 10 });
+    assert_eq!(feed.step(NOW + ms(9_000)), FeedStep::ReadAll);
+}
+
 #[test]
 fn a_lost_history_is_read_anew() {
     let mut feed = DirectoryFeed::new(peer("r"), BTreeMap::new());
