--- a/policy/src/forward/delivery.rs
+++ b/policy/src/forward/delivery.rs
@@ -242,8 +242,9 @@
         run.parts[track.part].out.retain(|known| *known != attempt);
         self.judge_reply(now, &mut run, &track, attempt, reply, actions);
         if matches!(run.parts[track.part].state, PartState::Done { .. }) {
+            let service = run.parts[track.part].service;
             for other in std::mem::take(&mut run.parts[track.part].out) {
-                self.cancel(now, other, actions);
+                self.let_go(now, &run, service, other, actions);
             }
         }
         let query = run.query;
--- a/policy/src/forward/replica_fleet.rs
+++ b/policy/src/forward/replica_fleet.rs
@@ -216,6 +216,11 @@
         records.any(|record| record.is_usable(now))
     }
 
+    /// Median work of a service.
+    pub(super) fn usual(&self, service: usize) -> Duration {
+        Duration::from_secs_f64(usual_ms(&self.services[service]) / 1000.0)
+    }
+
     /// Records a sending.
     pub(super) fn begin(&mut self, now: TimePoint, key: ReplicaKey, attempt: AttemptId) {
         if let Some(record) = self.records.get_mut(&key) {
--- a/policy/src/forward/settling.rs
+++ b/policy/src/forward/settling.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use schema::{
+    AttemptId,
     QueryId,
     RouteTarget,
     TimePoint, //
@@ -20,9 +21,11 @@
     RefusalReason, //
 };
 
-/// Time for which an attempt goes on after its request has an answer: most late replies come within
-/// it, which saves their connections and tells of their replicas.
-const LINGER: Duration = Duration::from_millis(0);
+/// Time for which an attempt that is not needed any more may go on, where that costs its replica
+/// less than a new connection: most late replies come within it.
+const LINGER: Duration = Duration::from_millis(300);
+/// Work that a new connection costs a replica: the set-up holds a slot for some 6 ms.
+const CONNECTION_WORK: Duration = Duration::from_millis(10);
 /// When to ask again for what was not sent for lack of connections or budget.
 const RETRY_BUSY: Duration = Duration::from_millis(100);
 
@@ -92,21 +95,34 @@
         for part in &mut run.parts {
             self.unwait(part);
         }
-        let linger = run.spec().idempotent;
-        for attempt in run.parts.iter().flat_map(|part| &part.out) {
-            if !linger {
-                self.cancel(now, *attempt, actions);
-                continue;
-            }
-            let expires = run.close_at.min(now + LINGER);
-            if let Some(track) = self.tracks.get_mut(attempt) {
-                track.expires = expires;
-                self.expiries.insert((expires, *attempt));
-            }
+        let parts = run.parts.iter();
+        let open = parts.flat_map(|part| part.out.iter().map(|attempt| (part.service, *attempt)));
+        for (service, attempt) in open {
+            self.let_go(now, &run, service, attempt, actions);
         }
         actions.push(ForwardAction::Answer { query, answer });
     }
 
+    /// Ends an attempt of `run` that is not needed any more, at once or after a while.
+    pub(super) fn let_go(
+        &mut self,
+        now: TimePoint,
+        run: &ForwardRun,
+        service: usize,
+        attempt: AttemptId,
+        actions: &mut Vec<ForwardAction>,
+    ) {
+        if !run.spec().idempotent || self.fleet.usual(service) > CONNECTION_WORK {
+            self.cancel(now, attempt, actions);
+            return;
+        }
+        let expires = run.close_at.min(now + LINGER);
+        if let Some(track) = self.tracks.get_mut(&attempt) {
+            track.expires = expires;
+            self.expiries.insert((expires, attempt));
+        }
+    }
+
     /// Ends the work for a caller that has left.
     pub(super) fn abandon(
         &mut self,
