--- a/daemon/src/forward/desk_event.rs
+++ b/daemon/src/forward/desk_event.rs
@@ -27,6 +27,7 @@
         StoreReading, //
     },
 };
+use crate::upstream_link::UpstreamLink;
 
 /// A caller's request on its way to the loop.
 #[derive(Debug)]
@@ -84,6 +85,8 @@
         /// What came of it.
         end: Box<ExchangeEnd>,
     },
+    /// A connection was opened before it is needed, or could not be.
+    Warmed(ReplicaKey, Option<UpstreamLink>),
     /// News of the directory.
     Directory(DirectoryNews),
     /// A peer told all that it knows, or did not answer.
--- a/daemon/src/forward/forward_loop.rs
+++ b/daemon/src/forward/forward_loop.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{
+        BTreeSet,
         HashMap, //
     },
     rc::Rc,
@@ -88,7 +89,8 @@
     link_shelf::LinkShelf,
     replica_exchange::{
         run_exchange,
-        ExchangeEnd, //
+        ExchangeEnd,
+        CONNECT_TIMEOUT, //
     },
     store_reader::{
         ReadError,
@@ -105,7 +107,8 @@
         LifePhase, //
     },
     log_event,
-    peering::PeerLink, //
+    peering::PeerLink,
+    upstream_link::UpstreamLink, //
 };
 
 /// Time in which the balancer takes a VM out that is not ready: two checks a second apart, and the
@@ -117,6 +120,8 @@
 const JOIN_RECHECK: Duration = Duration::from_millis(50);
 /// Longest time between two looks at who reads the directory.
 const FEED_RECHECK: Duration = Duration::from_secs(1);
+/// Connections that are opened ahead in one interval.
+const WARM_MAX: usize = 12;
 /// Interval of the cleaning of idle connections.
 const SWEEP_PERIOD: Duration = Duration::from_secs(1);
 /// When to ask again while there is no configuration: a start takes about that long.
@@ -140,6 +145,8 @@
     pub(super) calls: HashMap<QueryId, CallDesk>,
     pub(super) running: HashMap<AttemptId, AbortHandle>,
     pub(super) shelf: LinkShelf,
+    /// Replicas to which a connection is being opened before it is needed.
+    pub(super) warming: BTreeSet<ReplicaKey>,
     pub(super) notes: ForwardNotes,
     pub(super) metrics: ForwardMetrics,
     pub(super) events: UnboundedSender<DeskEvent>,
@@ -164,6 +171,13 @@
                 replica,
                 end,
             } => self.end_exchange(now, attempt, replica, *end),
+            DeskEvent::Warmed(replica, link) => {
+                self.warming.remove(&replica);
+                if let Some(link) = link {
+                    self.metrics.opened.inc();
+                    self.shelf.put(now, replica, link);
+                }
+            }
             DeskEvent::Directory(news) => self.take_news(now, news),
             DeskEvent::SyncAnswered(Some(body)) => {
                 self.tell_peers(now, PeerEvent::SyncReplied { body });
@@ -208,6 +222,7 @@
         if self.sweep_at <= now {
             self.sweep_at = now + SWEEP_PERIOD;
             self.shelf.sweep(now);
+            self.warm(now);
             self.publish_gauges();
         }
         if self.quiet_until <= now {
@@ -326,6 +341,30 @@
         }
     }
 
+    /// Opens connections to replicas that will be asked next and have none: a request that finds all
+    /// shards cold would wait for all set-ups.
+    fn warm(&mut self, now: TimePoint) {
+        let (Some(index), LifePhase::Ready) = (&self.index, self.phase()) else {
+            return;
+        };
+        let mut room = WARM_MAX;
+        for (replica, address) in self.engine.nearest(now, index) {
+            if room == 0 {
+                return;
+            }
+            if self.shelf.has(replica) || !self.warming.insert(replica) {
+                continue;
+            }
+            room -= 1;
+            let events = self.events.clone();
+            spawn_local(async move {
+                let link = UpstreamLink::connect(address, CONNECT_TIMEOUT, || ()).await;
+                // The loop is gone only when the process ends.
+                let _ = events.send(DeskEvent::Warmed(replica, link));
+            });
+        }
+    }
+
     fn send(&mut self, now: TimePoint, order: ForwardOrder) {
         let Some(desk) = self.calls.get_mut(&order.query) else {
             return;
--- a/daemon/src/forward/link_shelf.rs
+++ b/daemon/src/forward/link_shelf.rs
@@ -58,6 +58,11 @@
         self.links.retain(|_, links| !links.is_empty());
     }
 
+    /// Whether there is an idle connection to a replica.
+    pub(super) fn has(&self, replica: ReplicaKey) -> bool {
+        self.links.contains_key(&replica)
+    }
+
     /// Idle connections to all replicas.
     pub(super) fn count(&self) -> usize {
         self.links.values().map(Vec::len).sum()
--- a/daemon/src/forward/replica_exchange.rs
+++ b/daemon/src/forward/replica_exchange.rs
@@ -26,7 +26,7 @@
 use crate::upstream_link::UpstreamLink;
 
 /// Longest time for a new connection: several round trips to the farthest data centre.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Largest reply that is taken, in bytes.
 const REPLY_MAX: usize = 8 * 1024 * 1024;
 
--- a/daemon/src/forward/run_forward.rs
+++ b/daemon/src/forward/run_forward.rs
@@ -248,6 +248,7 @@
         calls: Default::default(),
         running: Default::default(),
         shelf: LinkShelf::default(),
+        warming: Default::default(),
         notes: ForwardNotes::new(log, metrics.clone(), now),
         metrics,
         events,
--- a/policy/src/forward/forward_engine.rs
+++ b/policy/src/forward/forward_engine.rs
@@ -5,6 +5,7 @@
         BTreeMap,
         BTreeSet, //
     },
+    net::SocketAddr,
     time::Duration, //
 };
 
@@ -14,7 +15,9 @@
     ReplicaEntry,
     ReplicaName,
     RouteName,
+    RouteSpec,
     RouteTarget,
+    ServiceName,
     TimePoint, //
 };
 use smallvec::SmallVec;
@@ -34,9 +37,9 @@
     RouteIndex, //
 };
 
-/// Time kept free before a goal for the caller's link, which the daemon can't measure: 3 ms each
-/// way on the deployments, as much again for a new connection, and some for their jitter.
-const GOAL_MARGIN: Duration = Duration::from_millis(14);
+/// Time kept free before a goal for what the daemon can't measure: the caller's link, 3 ms each way on
+/// the deployments and as much again for a new connection, and its own delays on a small machine.
+const GOAL_MARGIN: Duration = Duration::from_millis(20);
 /// Time kept free before a caller's deadline, so that the last answer arrives.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(20);
 /// Part of the time up to its goal that a request may spend in line: the rest is for its work.
@@ -140,6 +143,17 @@
         listed.count()
     }
 
+    /// The nearest replica of each service of the table in force, to which a connection is worth having
+    /// before the first request.
+    pub fn nearest(&self, now: TimePoint, index: &RouteIndex) -> Vec<(ReplicaKey, SocketAddr)> {
+        let services = index.table.routes.iter().flat_map(RouteSpec::services);
+        let services: BTreeSet<&ServiceName> = services.collect();
+        let nearest = services
+            .into_iter()
+            .filter_map(|name| self.fleet.nearest(now, name));
+        nearest.collect()
+    }
+
     /// Forgets routes that are gone and takes over the limits of services.
     fn apply(&mut self, index: &RouteIndex) {
         let table = &index.table;
--- a/policy/src/forward/replica_fleet.rs
+++ b/policy/src/forward/replica_fleet.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::BTreeMap,
+    net::SocketAddr,
     time::Duration, //
 };
 
@@ -216,6 +217,20 @@
         records.any(|record| record.is_usable(now))
     }
 
+    /// The nearest replica of a service that may get work.
+    pub(super) fn nearest(
+        &self,
+        now: TimePoint,
+        service: &ServiceName,
+    ) -> Option<(ReplicaKey, SocketAddr)> {
+        let state = &self.services[*self.places.get(service)?];
+        let members = state.members.iter();
+        let records = members.filter_map(|key| Some((*key, self.records.get(key)?)));
+        let usable = records.filter(|(_, record)| record.is_usable(now));
+        let nearest = usable.min_by(|(_, a), (_, b)| a.link_ms.total_cmp(&b.link_ms));
+        nearest.map(|(key, record)| (key, record.entry.address))
+    }
+
     /// Median work of a service.
     pub(super) fn usual(&self, service: usize) -> Duration {
         Duration::from_secs_f64(usual_ms(&self.services[service]) / 1000.0)
--- a/policy/src/forward/route_state.rs
+++ b/policy/src/forward/route_state.rs
@@ -11,7 +11,7 @@
 /// that a paused replica delays, about one in 24.
 const HEDGE_QUANTILE: f32 = 0.9;
 /// Multiple of that latency after which a reply is late.
-const HEDGE_FACTOR: f64 = 1.7;
+const HEDGE_FACTOR: f64 = 1.3;
 /// Shortest hedge delay.
 const HEDGE_MIN: Duration = Duration::from_millis(4);
 /// Part of the route's goal that a hedge waits at most: the rest is for the second reply.
--- a/policy/tests/directory.rs
+++ b/policy/tests/directory.rs
@@ -265,7 +265,16 @@
     feed.store_read(NOW, whole(10));
     feed.store_failed(NOW + ms(1_000));
     let step = feed.step(NOW + ms(1_000));
-    assert!(matches!(step, FeedStep::AskPeer { after: Some(10), .. }), "{step:?}");
+    assert!(
+        matches!(
+            step,
+            FeedStep::AskPeer {
+                after: Some(10),
+                ..
+            }
+        ),
+        "{step:?}"
+    );
     let step = feed.step(NOW + ms(1_900));
     assert_eq!(step, FeedStep::ReadChanges { after: 10 });
 }
@@ -277,7 +286,10 @@
     let mut feed = DirectoryFeed::new(peer("r"), BTreeMap::new());
     feed.store_read(NOW, whole(10));
     feed.store_failed(NOW + ms(1_000));
-    assert_eq!(feed.step(NOW + ms(3_000)), FeedStep::ReadChanges { after: 10 });
+    assert_eq!(
+        feed.step(NOW + ms(3_000)),
+        FeedStep::ReadChanges { after: 10 }
+    );
     assert_eq!(feed.step(NOW + ms(9_000)), FeedStep::ReadAll);
 }
 
