--- a/policy/src/forward/delivery.rs
+++ b/policy/src/forward/delivery.rs
@@ -28,6 +28,9 @@
 /// Time after which a part that could not be sent is tried again.
 const RECHECK: Duration = Duration::from_millis(10);
 
+/// Longest time for which a part waits for the budget alone, where its route has no goal.
+const STARVED_MAX: Duration = Duration::from_secs(1);
+
 impl ForwardEngine {
     /// Sends a part to a replica, or says when to try again. `cause` tells why: `first`, `late` or
     /// `failed`.
@@ -55,7 +58,7 @@
         let extra = part.sent;
         let late = now >= run.goal_at;
         if extra && !self.fleet.spend(now, service, late) {
-            run.parts[index].due = now + RECHECK;
+            starve(now, run, index);
             return;
         }
         if !extra {
@@ -275,11 +278,7 @@
             return;
         }
         part.ran += 1;
-        let usable = if gather {
-            reply.is_success()
-        } else {
-            reply.status < 500
-        };
+        let usable = reply.is_success() || (!gather && (300..500).contains(&reply.status));
         if usable {
             self.unwait(part);
             part.state = PartState::Done {
@@ -293,7 +292,10 @@
             part.fallback = Some(attempt);
             return;
         }
-        part.fallback = Some(attempt);
+        // A success without a signature is not the replica's, and a status that promises that nothing
+        // ran is not for a request that did.
+        let relayed = reply.status >= 500 && reply.status != 503;
+        part.fallback = Some(attempt).filter(|_| relayed).or(part.fallback);
         self.note_failure(now, track, "ran_failed", actions);
         if idempotent && run.parts[track.part].ran < attempts {
             self.relaunch(now, run, track.part, actions);
@@ -420,3 +422,16 @@
         Some(track)
     }
 }
+
+/// A part for which the budget has no further send: it waits for what is under way, or for the
+/// budget while its request may be in time. A caller that is late already does better with an answer
+/// at once: the first sends of its next try are free.
+fn starve(now: TimePoint, run: &mut ForwardRun, index: usize) {
+    let given_up = run.goal_at.min(run.arrived + STARVED_MAX);
+    let part = &mut run.parts[index];
+    if part.out.is_empty() && now >= given_up {
+        part.state = PartState::Lost;
+        return;
+    }
+    part.due = now + RECHECK;
+}
--- a/policy/tests/forward_basics.rs
+++ b/policy/tests/forward_basics.rs
@@ -276,3 +276,52 @@
     );
     assert!(ended.age() <= ms(800));
 }
+
+/// Nothing under way and no further send in the budget: the caller is told once it is late, not at
+/// its deadline.
+#[test]
+fn a_part_without_budget_is_given_up_at_the_goal() {
+    let mut world = world(single());
+    let fails = ReplicaModel {
+        breaks_pct: 100,
+        ..near()
+    };
+    world.add("s0", "near", fails);
+    let query = world.ask(0, 0, ms(3_000));
+    world.run(ms(4_000));
+    let ended = world.end_of(query);
+    assert_eq!(
+        ended.answer,
+        ForwardAnswer::Failed {
+            reason: RefusalReason::UpstreamFailed
+        }
+    );
+    assert!(ended.age() <= ms(220), "{ended:?}");
+}
+
+/// A success without a signature is not the replica's, and a status that says that nothing ran is
+/// not passed on for a request that did.
+#[test]
+fn what_is_not_relayed() {
+    for (status, stamped, relayed) in [
+        (200, false, false),
+        (503, true, false),
+        (500, true, true),
+        (404, true, true),
+        (404, false, true),
+    ] {
+        let mut world = world(unsafe_single());
+        let model = ReplicaModel {
+            status,
+            stamped,
+            ..near()
+        };
+        world.add("s0", "near", model);
+        let query = world.ask(0, 0, ms(1_000));
+        world.run(ms(2_000));
+        let ended = world.end_of(query);
+        assert_eq!(ended.is_success(), relayed, "{status} {stamped} {ended:?}");
+        let refused = matches!(ended.answer, ForwardAnswer::NotRun { .. });
+        assert!(!refused, "{status}: it ran");
+    }
+}
--- a/policy/tests/forward_kit/mod.rs
+++ b/policy/tests/forward_kit/mod.rs
@@ -69,6 +69,8 @@
     pub(crate) breaks_pct: u32,
     /// Status of its replies.
     pub(crate) status: u16,
+    /// Whether its replies have a signature.
+    pub(crate) stamped: bool,
 }
 
 impl Default for ReplicaModel {
@@ -86,6 +88,7 @@
             sheds_pct: 0,
             breaks_pct: 0,
             status: 200,
+            stamped: true,
         }
     }
 }
@@ -100,7 +103,7 @@
 
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum Outcome {
-    Replied(u16),
+    Replied(u16, bool),
     NotRun,
     Broken,
     Unconnected,
@@ -406,10 +409,11 @@
                     return;
                 }
                 let event = match outcome {
-                    Outcome::Replied(status) => ForwardEvent::Replied {
-                        attempt,
-                        reply: reply_of(attempt, status),
-                    },
+                    Outcome::Replied(status, stamped) => {
+                        let mut reply = reply_of(attempt, status);
+                        reply.stamp = reply.stamp.filter(|_| stamped);
+                        ForwardEvent::Replied { attempt, reply }
+                    }
                     Outcome::NotRun => ForwardEvent::Replied {
                         attempt,
                         reply: ForwardReply {
@@ -479,7 +483,7 @@
             let breaks = self.random.random_range(0..100) < model.breaks_pct;
             let outcome = match breaks {
                 true => Outcome::Broken,
-                false => Outcome::Replied(model.status),
+                false => Outcome::Replied(model.status, model.stamped),
             };
             let link = self.link(daemon, name);
             self.plan(link, Happening::Tells(daemon, attempt, outcome));
