--- a/cli/src/cmd/mod.rs
+++ b/cli/src/cmd/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod completion;
 pub(crate) mod diff;
 pub(crate) mod drain;
+pub(crate) mod explain;
 pub(crate) mod history;
 pub(crate) mod keygen;
 pub(crate) mod load;
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -38,6 +38,7 @@
         completion,
         diff,
         drain,
+        explain,
         history,
         keygen,
         load,
@@ -64,6 +65,7 @@
     Drain(drain::DrainArgs),
     Query(query::QueryArgs),
     Load(load::LoadArgs),
+    Explain(explain::ExplainArgs),
     Completion(completion::CompletionArgs),
 }
 
@@ -78,13 +80,16 @@
     let drain = drain::parser().command("drain").map(Command::Drain);
     let query = query::parser().command("query").map(Command::Query);
     let load = load::parser().command("load").map(Command::Load);
+    let explain = explain::parser().command("explain").map(Command::Explain);
     let completion = completion::parser().command("completion");
     let completion = completion.map(Command::Completion);
-    construct!([check, diff, keygen, sign, accept, history, status, drain, query, load, completion])
-        .to_options()
-        .descr(HELP)
-        .version(env!("CARGO_PKG_VERSION"))
-        .footer(EXIT_CODES)
+    construct!([
+        check, diff, keygen, sign, accept, history, status, drain, query, load, explain, completion
+    ])
+    .to_options()
+    .descr(HELP)
+    .version(env!("CARGO_PKG_VERSION"))
+    .footer(EXIT_CODES)
 }
 
 fn main() -> ExitCode {
@@ -115,6 +120,7 @@
         Command::Drain(args) => drain::run(&args),
         Command::Query(args) => query::run(&args),
         Command::Load(args) => load::run(&args),
+        Command::Explain(args) => explain::run(&args),
         Command::Completion(args) => print_completion(&completion::run(&args)?),
     }
 }
--- a/cli/tests/help.rs
+++ b/cli/tests/help.rs
@@ -8,7 +8,7 @@
 
 use workdir::WorkDir;
 
-const COMMANDS: [&str; 11] = [
+const COMMANDS: [&str; 12] = [
     "check",
     "diff",
     "keygen",
@@ -19,6 +19,7 @@
     "drain",
     "query",
     "load",
+    "explain",
     "completion",
 ];
 
