--- a/daemon/tests/forward_bench/mod.rs
+++ b/daemon/tests/forward_bench/mod.rs
@@ -114,6 +114,8 @@
 /// A store and the daemons over it, each on a loopback number of its own.
 pub(crate) struct ForwardBench {
     pub(crate) store: StoreStand,
+    /// Where daemons reach the store.
+    pub(crate) store_address: SocketAddr,
     net: [u8; 2],
     last: u8,
 }
@@ -124,8 +126,10 @@
         let bench = LAST_BENCH.fetch_add(1, Ordering::Relaxed);
         // Tests of several processes run at once: the process and the bench make the number.
         let [_, _, high, low] = (std::process::id() * 16 + bench).to_be_bytes();
+        let store = StoreStand::start();
         let this = Self {
-            store: StoreStand::start(),
+            store_address: store.address(),
+            store,
             net: [high.max(1), low],
             last: 0,
         };
@@ -141,11 +145,16 @@
     /// Starts a daemon, which need not be ready yet.
     pub(crate) fn spawn(&mut self, zone: &str) -> DaemonStand {
         self.last += 1;
+        self.spawn_as(self.last, zone)
+    }
+
+    /// Starts the daemon with a number, for the first time or again.
+    pub(crate) fn spawn_as(&self, number: u8, zone: &str) -> DaemonStand {
         let [high, low] = self.net;
-        let ip = [127, high, low, self.last];
-        let first = [127, high, low, 1];
-        let name = format!("d{}", self.last);
-        DaemonStand::start(&name, ip, zone, self.store.address(), &[first])
+        let ip = [127, high, low, number];
+        let seeds = [[127, high, low, 1], [127, high, low, 2]];
+        let name = format!("d{number}");
+        DaemonStand::start(&name, ip, zone, self.store_address, &seeds)
     }
 
     /// Starts a daemon and waits until it is ready.
