--- a/daemon/src/forward/call_desk.rs
+++ b/daemon/src/forward/call_desk.rs
@@ -92,10 +92,12 @@
     pub(super) route: RouteName,
     /// Arrival.
     pub(super) arrived: TimePoint,
+    /// Replicas of one service that its route lets run it; 1 also where it may run once only.
+    pub(super) attempts: u32,
     /// Requests sent for it.
     pub(super) sends: u32,
     /// Attempts whose replies may be relayed.
-    pub(super) attempts: SmallVec<[AttemptId; 2]>,
+    pub(super) relayable: SmallVec<[AttemptId; 2]>,
     /// Replies that may be relayed.
     pub(super) replies: SmallVec<[(AttemptId, WholeReply); 1]>,
     /// Whether replies are kept for relaying.
--- a/daemon/src/forward/forward_loop.rs
+++ b/daemon/src/forward/forward_loop.rs
@@ -267,7 +267,8 @@
             route: spec.name.clone(),
             arrived: arrival,
             sends: 0,
-            attempts: SmallVec::new(),
+            attempts: if spec.idempotent { spec.attempts } else { 1 },
+            relayable: SmallVec::new(),
             replies: SmallVec::new(),
             relays: !matches!(spec.target, schema::RouteTarget::Gather { .. }),
             answer: arrived.answer,
@@ -313,7 +314,8 @@
         };
         if let Some(reply) = end.reply {
             let mut desks = self.calls.values_mut();
-            if let Some(desk) = desks.find(|desk| desk.relays && desk.attempts.contains(&attempt)) {
+            if let Some(desk) = desks.find(|desk| desk.relays && desk.relayable.contains(&attempt))
+            {
                 desk.replies.push((attempt, reply));
             }
         }
@@ -371,7 +373,7 @@
         };
         desk.sends += 1;
         if desk.relays {
-            desk.attempts.push(order.attempt);
+            desk.relayable.push(order.attempt);
         }
         self.metrics.sends.inc();
         let request = desk.head.request(&order, now);
@@ -456,7 +458,7 @@
         log_event!(
             self.notes.log, events::REQUEST_ENDED,
             "request" => desk.head.id.to_str().unwrap_or("?"), "route" => %desk.route,
-            "result" => result, "age_ms" => millis(age), "sends" => desk.sends,
+            "result" => result, "age_ms" => millis(age), "sends" => desk.sends, "attempts" => desk.attempts,
             "missing" => missing, "table" => self.feed.version().map_or(0, |version| version.0),
         );
     }
--- a/policy/tests/peers_kit/mod.rs
+++ b/policy/tests/peers_kit/mod.rs
@@ -113,11 +113,15 @@
     }
 
     fn core(&self, now: TimePoint, node: usize, life: u64) -> PeerCore {
+        self.core_at(now, node, life, START.0 + life)
+    }
+
+    fn core_at(&self, now: TimePoint, node: usize, life: u64, incarnation: u64) -> PeerCore {
         let mut settings = PeerSettings::new(
             format!("entry-daemon-{node}").parse().expect("name"),
             address(node),
             format!("zone-{}", node % self.zones).parse().expect("zone"),
-            Incarnation(START.0 + life),
+            Incarnation(incarnation),
             KEY,
         );
         settings.seed = node as u64 * 1_000 + life;
@@ -291,7 +295,19 @@
 
     pub(crate) fn restart(&mut self, node: usize) {
         let life = self.nodes[node].life + 1;
-        self.nodes[node].core = self.core(self.now, node, life);
+        let core = self.core(self.now, node, life);
+        self.start(node, life, core);
+    }
+
+    /// Restarts a daemon whose clock was set back by three seconds meanwhile.
+    pub(crate) fn restart_set_back(&mut self, node: usize) {
+        let life = self.nodes[node].life + 1;
+        let core = self.core_at(self.now, node, life, START.0 - 3_000_000);
+        self.start(node, life, core);
+    }
+
+    fn start(&mut self, node: usize, life: u64, core: PeerCore) {
+        self.nodes[node].core = core;
         self.nodes[node].life = life;
         self.nodes[node].up = true;
         self.nodes[node].version = 0;
--- a/policy/tests/peers_network.rs
+++ b/policy/tests/peers_network.rs
@@ -217,3 +217,15 @@
     }
     let _: TimePoint = now;
 }
+
+/// A daemon takes the time of its start for its incarnation. One whose clock was set back while it was
+/// down comes with an earlier one than the others remember.
+#[test]
+fn a_clock_set_back_keeps_no_daemon_out() {
+    let mut net = settled(3, 6, 2);
+    net.kill(4);
+    net.run_for(2 * SECOND);
+    net.restart_set_back(4);
+    let time = net.run_until(30 * SECOND, PeerNet::agrees);
+    assert!(time.is_some(), "the others do not take it back");
+}
