Split the loop of forwarding and its deliveries by what they hold; mend what clippy finds

Changed: forward_calls, forward_feed and forward_life take the loop's requests, directory and stop; outcomes takes replies and failures. Routes are kept in ordered maps. No behaviour changes.

--- /dev/null
+++ b/daemon/src/forward/forward_calls.rs
@@ -0,0 +1,240 @@
+//! Requests of callers: their arrival, their replies and their answers.
+
+use std::{
+    rc::Rc,
+    time::Duration, //
+};
+
+use http::{
+    header,
+    HeaderMap,
+    HeaderValue,
+    StatusCode, //
+};
+use platform::{
+    merged_headers,
+    request_id,
+    retry_after,
+    time_left, //
+};
+use policy::forward::{
+    ForwardAnswer,
+    ForwardCall,
+    ForwardEvent,
+    RefusalReason,
+    ReplicaKey, //
+};
+use schema::{
+    AttemptId,
+    QueryId,
+    RouteTarget,
+    TimePoint, //
+};
+use smallvec::SmallVec;
+
+use super::{
+    call_desk::{
+        CallDesk,
+        CallHead, //
+    },
+    desk_event::{
+        ArrivedRequest,
+        CallerReply, //
+    },
+    forward_loop::ForwardLoop,
+    forward_metrics::{
+        RouteLabel,
+        RouteLabels, //
+    },
+    forward_notes::millis,
+    replica_exchange::ExchangeEnd, //
+};
+use crate::{
+    events,
+    log_event, //
+};
+
+/// When to ask again while there is no configuration: a start takes about that long.
+const RETRY_STARTING: Duration = Duration::from_millis(500);
+
+impl ForwardLoop {
+    /// Takes a request in.
+    pub(super) fn arrive(&mut self, now: TimePoint, arrived: ArrivedRequest) {
+        let arrival = now - arrived.age;
+        let (Some(index), true) = (self.index.clone(), self.feed.is_ready()) else {
+            let mut headers = HeaderMap::new();
+            retry_after(&mut headers, RETRY_STARTING);
+            refuse(arrived, StatusCode::SERVICE_UNAVAILABLE, headers);
+            return;
+        };
+        let host = host_of(&arrived);
+        let Some(route) = index.find(host, arrived.head.uri.path()) else {
+            refuse(arrived, StatusCode::NOT_FOUND, HeaderMap::new());
+            return;
+        };
+        let Some(id) = request_id(&arrived.head.headers).cloned() else {
+            refuse(arrived, StatusCode::BAD_REQUEST, HeaderMap::new());
+            return;
+        };
+        let spec = &index.table.routes[route];
+        let patience = time_left(&arrived.head.headers);
+        let desk = CallDesk {
+            head: Rc::new(CallHead::new(arrived.head, arrived.body, id)),
+            route: spec.name.clone(),
+            arrived: arrival,
+            sends: 0,
+            attempts: if spec.idempotent { spec.attempts } else { 1 },
+            relayable: SmallVec::new(),
+            replies: SmallVec::new(),
+            relays: !matches!(spec.target, RouteTarget::Gather { .. }),
+            answer: arrived.answer,
+        };
+        self.calls.insert(arrived.query, desk);
+        let call = ForwardCall {
+            index,
+            route,
+            patience: patience.map(|patience| patience.saturating_sub(arrived.age)),
+        };
+        let query = arrived.query;
+        self.decide(now, ForwardEvent::Arrived { query, call });
+    }
+
+    /// Forgets a request whose caller has left.
+    pub(super) fn caller_gone(&mut self, now: TimePoint, query: QueryId) {
+        let Some(desk) = self.calls.remove(&query) else {
+            return;
+        };
+        self.count_answer(now, &desk, "caller_gone", None);
+        self.decide(now, ForwardEvent::CallerGone { query });
+    }
+
+    /// Takes in the end of an exchange with a replica.
+    pub(super) fn end_exchange(
+        &mut self,
+        now: TimePoint,
+        attempt: AttemptId,
+        replica: ReplicaKey,
+        end: ExchangeEnd,
+    ) {
+        // An exchange that was given up while its end was on the way changes nothing.
+        if self.running.remove(&attempt).is_none() {
+            return;
+        }
+        if end.opened {
+            self.metrics.opened.inc();
+        }
+        if let Some(link) = end.link {
+            self.shelf.put(now, replica, link);
+        }
+        let event = match end.result {
+            Ok(reply) => ForwardEvent::Replied { attempt, reply },
+            Err(failure) => ForwardEvent::Failed { attempt, failure },
+        };
+        if let Some(reply) = end.reply {
+            let mut desks = self.calls.values_mut();
+            if let Some(desk) = desks.find(|desk| desk.relays && desk.relayable.contains(&attempt))
+            {
+                desk.replies.push((attempt, reply));
+            }
+        }
+        self.decide(now, event);
+    }
+
+    /// Hands a request its answer.
+    pub(super) fn answer(&mut self, now: TimePoint, query: QueryId, answer: ForwardAnswer) {
+        let Some(mut desk) = self.calls.remove(&query) else {
+            return;
+        };
+        let mut detail = None;
+        let (result, reply) = match answer {
+            ForwardAnswer::Relayed { attempt } => match desk.relay(attempt) {
+                Some(reply) if reply.status.is_success() => ("served", reply),
+                Some(reply) => ("relayed_failure", reply),
+                None => ("lost_reply", status_reply(StatusCode::BAD_GATEWAY)),
+            },
+            ForwardAnswer::Merged {
+                stamps,
+                missing,
+                records,
+            } => {
+                let mut reply = status_reply(StatusCode::OK);
+                merged_headers(&mut reply.headers, &stamps, missing);
+                reply.body = records;
+                detail = Some(missing);
+                (if missing == 0 { "served" } else { "partial" }, reply)
+            }
+            ForwardAnswer::NotRun {
+                reason,
+                retry_after: delay,
+            } => {
+                let mut reply = status_reply(StatusCode::SERVICE_UNAVAILABLE);
+                retry_after(&mut reply.headers, delay);
+                (reason.as_str(), reply)
+            }
+            ForwardAnswer::Failed { reason } => {
+                let status = match reason {
+                    RefusalReason::Deadline => StatusCode::GATEWAY_TIMEOUT,
+                    _ => StatusCode::BAD_GATEWAY,
+                };
+                (reason.as_str(), status_reply(status))
+            }
+        };
+        self.count_answer(now, &desk, result, detail);
+        // A caller that has just left reports it by its guard.
+        let _ = desk.answer.send(reply);
+    }
+
+    fn count_answer(
+        &mut self,
+        now: TimePoint,
+        desk: &CallDesk,
+        result: &'static str,
+        missing: Option<usize>,
+    ) {
+        let route = desk.route.to_string();
+        let age = now.since(desk.arrived);
+        let label = RouteLabel {
+            route: route.clone(),
+        };
+        let latency = self.metrics.latency.get_or_create(&label);
+        latency.observe(age.as_secs_f64());
+        let labels = RouteLabels { route, result };
+        self.metrics.requests.get_or_create(&labels).inc();
+        if !self.notes.may_write(now, result != "served") {
+            return;
+        }
+        log_event!(
+            self.notes.log, events::REQUEST_ENDED,
+            "request" => desk.head.id.to_str().unwrap_or("?"), "route" => %desk.route,
+            "result" => result, "age_ms" => millis(age), "sends" => desk.sends, "attempts" => desk.attempts,
+            "missing" => missing, "table" => self.feed.version().map_or(0, |version| version.0),
+        );
+    }
+}
+
+fn status_reply(status: StatusCode) -> CallerReply {
+    CallerReply {
+        status,
+        ..CallerReply::default()
+    }
+}
+
+fn refuse(arrived: ArrivedRequest, status: StatusCode, headers: HeaderMap) {
+    let reply = CallerReply {
+        status,
+        headers,
+        ..CallerReply::default()
+    };
+    // A caller that has just left reports it by its guard.
+    let _ = arrived.answer.send(reply);
+}
+
+fn host_of(arrived: &ArrivedRequest) -> &str {
+    let host = arrived
+        .head
+        .headers
+        .get(header::HOST)
+        .map(HeaderValue::as_bytes);
+    let host = host.and_then(|host| std::str::from_utf8(host).ok());
+    host.or_else(|| arrived.head.uri.host()).unwrap_or("")
+}
--- a/daemon/src/forward/mod.rs
+++ b/daemon/src/forward/mod.rs
@@ -2,7 +2,10 @@
 
 mod call_desk;
 mod desk_event;
+mod forward_calls;
+mod forward_feed;
 mod forward_front;
+mod forward_life;
 mod forward_loop;
 mod forward_metrics;
 mod forward_notes;
--- a/daemon/tests/forward_soak.rs
+++ b/daemon/tests/forward_soak.rs
@@ -78,7 +78,7 @@
             ..RouteText::single("/all/", "s1")
         },
     ];
-    if version % 2 == 0 {
+    if version.is_multiple_of(2) {
         routes.push(RouteText::single("/extra/", "s3"));
     }
     routes
--- a/policy/src/forward/mod.rs
+++ b/policy/src/forward/mod.rs
@@ -14,6 +14,7 @@
 mod forward_run;
 mod forward_settings;
 mod latency_sketch;
+mod outcomes;
 mod record_merge;
 mod replica_fleet;
 mod replica_record;
--- a/policy/src/forward/route_index.rs
+++ b/policy/src/forward/route_index.rs
@@ -1,23 +1,23 @@
 //! Finds the route of a request.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use compact_str::CompactString;
 use schema::RouteTable;
 
-/// A table with its routes by host and prefix. A look-up costs one probe for each slash in the
-/// path, whatever the number of routes.
+/// A table with its routes by host and prefix. A look-up costs one search for each slash in the
+/// path.
 #[derive(Clone, Debug, Default)]
 pub struct RouteIndex {
     /// The table.
     pub table: RouteTable,
-    places: HashMap<CompactString, HashMap<CompactString, usize>>,
+    places: BTreeMap<CompactString, BTreeMap<CompactString, usize>>,
 }
 
 impl RouteIndex {
     /// The index of `table`. Of two routes with the same host and prefix the first one counts.
     pub fn new(table: RouteTable) -> Self {
-        let mut places: HashMap<CompactString, HashMap<CompactString, usize>> = HashMap::new();
+        let mut places: BTreeMap<CompactString, BTreeMap<CompactString, usize>> = BTreeMap::new();
         for (place, route) in table.routes.iter().enumerate() {
             let prefixes = places.entry(route.host.clone()).or_default();
             prefixes.entry(route.prefix.clone()).or_insert(place);
--- a/policy/tests/forward_parts.rs
+++ b/policy/tests/forward_parts.rs
@@ -173,9 +173,11 @@
 }
 
 /// Waiting requests by number and arrival, the time, and who is next.
+type LineCase<'a> = (&'a [(u64, u64)], u64, Option<u64>);
+
 #[test]
 fn turns_in_a_line() {
-    let cases: [(&[(u64, u64)], u64, Option<u64>); 6] = [
+    let cases: [LineCase<'_>; 6] = [
         (&[], 0, None),
         (&[(1, 0), (2, 10), (3, 20)], 40, Some(1)),
         // The first has waited for over a quarter of its time.
