--- a/policy/tests/forward_basics.rs
+++ b/policy/tests/forward_basics.rs
@@ -121,7 +121,7 @@
     let query = world.ask(0, 0, ms(3_000));
     world.run(ms(2_500));
     assert!(world.end_of(query).is_success());
-    let sends = world.sends.iter().filter(|send| send.2 == (0, query));
+    let sends = world.sends.iter().filter(|send| send.request == (0, query));
     assert_eq!(sends.count(), 1);
 }
 
--- a/policy/tests/forward_kit/mod.rs
+++ b/policy/tests/forward_kit/mod.rs
@@ -116,9 +116,20 @@
     cancelled: BTreeSet<(usize, AttemptId)>,
 }
 
+/// A request sent to a replica.
+#[derive(Clone, Debug)]
+pub(crate) struct SentRequest {
+    pub(crate) at: TimePoint,
+    pub(crate) service: String,
+    /// The daemon and its request.
+    pub(crate) request: (usize, QueryId),
+    /// Whether the service had the request before.
+    pub(crate) extra: bool,
+}
+
 /// What became of a request.
 #[derive(Clone, Debug)]
-pub(crate) struct Ended {
+pub(crate) struct EndedRequest {
     pub(crate) daemon: usize,
     pub(crate) query: QueryId,
     pub(crate) asked: TimePoint,
@@ -126,7 +137,7 @@
     pub(crate) answer: ForwardAnswer,
 }
 
-impl Ended {
+impl EndedRequest {
     pub(crate) fn age(&self) -> Duration {
         self.at.since(self.asked)
     }
@@ -162,11 +173,11 @@
     serial: u64,
     next_query: u64,
     random: Pcg64Mcg,
-    /// Every send: time, service, request of its daemon, whether it is a further one, replica.
-    pub(crate) sends: Vec<(TimePoint, String, (usize, QueryId), bool, String)>,
+    /// Every send.
+    pub(crate) sends: Vec<SentRequest>,
     /// Runs by request and service.
     pub(crate) runs: BTreeMap<(usize, QueryId, String), u32>,
-    pub(crate) ended: Vec<Ended>,
+    pub(crate) ended: Vec<EndedRequest>,
     /// Most requests under way at one replica from one daemon.
     pub(crate) most_out: usize,
 }
@@ -308,7 +319,7 @@
     }
 
     /// The end of a request; it must have one.
-    pub(crate) fn end_of(&self, query: QueryId) -> &Ended {
+    pub(crate) fn end_of(&self, query: QueryId) -> &EndedRequest {
         let mut ended = self.ended.iter();
         ended.find(|ended| ended.query == query).unwrap()
     }
@@ -320,22 +331,26 @@
 
     /// Requests that succeeded within `goal`.
     pub(crate) fn in_time(&self, goal: Duration) -> usize {
-        let good = |ended: &&Ended| ended.is_success() && ended.age() <= goal;
+        let good = |ended: &&EndedRequest| ended.is_success() && ended.age() <= goal;
         self.ended.iter().filter(good).count()
     }
 
     /// Most further sends to one service in any span of ten seconds, with the requests for it in that
     /// span.
     pub(crate) fn worst_window(&self, service: &str) -> (usize, usize) {
-        let sends: Vec<_> = self.sends.iter().filter(|send| send.1 == service).collect();
+        let sends: Vec<_> = self
+            .sends
+            .iter()
+            .filter(|send| send.service == service)
+            .collect();
         let mut worst = (0, 0);
         for (place, send) in sends.iter().enumerate() {
-            let end = send.0 + Duration::from_secs(10);
+            let end = send.at + Duration::from_secs(10);
             let window: Vec<_> = sends[place..]
                 .iter()
-                .take_while(|other| other.0 < end)
+                .take_while(|other| other.at < end)
                 .collect();
-            let extras = window.iter().filter(|send| send.3).count();
+            let extras = window.iter().filter(|send| send.extra).count();
             if extras > worst.0 {
                 worst = (extras, window.len() - extras);
             }
@@ -353,7 +368,7 @@
                 ForwardAction::Cancel { attempt } => self.cancel(daemon, attempt),
                 ForwardAction::Answer { query, answer } => {
                     let asked = self.asked.remove(&(daemon, query)).unwrap();
-                    self.ended.push(Ended {
+                    self.ended.push(EndedRequest {
                         daemon,
                         query,
                         asked,
@@ -369,9 +384,12 @@
     fn send(&mut self, daemon: usize, order: ForwardOrder) {
         let name = order.name.to_string();
         let service = self.services[&name].clone();
-        let key = (daemon, order.query);
-        self.sends
-            .push((self.now, service, key, order.extra, name.clone()));
+        self.sends.push(SentRequest {
+            at: self.now,
+            service,
+            request: (daemon, order.query),
+            extra: order.extra,
+        });
         let attempt = order.attempt;
         self.orders.insert((daemon, attempt), order);
         let out = |(other, _): &(usize, AttemptId), order: &ForwardOrder| {
--- a/policy/tests/forward_load.rs
+++ b/policy/tests/forward_load.rs
@@ -79,7 +79,7 @@
     assert!(in_time > 0.99, "{in_time}");
     assert!(whole > 0.93, "{whole}");
     assert_budget(&world);
-    let extras = world.sends.iter().filter(|send| send.3).count();
+    let extras = world.sends.iter().filter(|send| send.extra).count();
     assert!(
         extras * 10 < world.sends.len(),
         "{extras} of {}",
@@ -163,7 +163,7 @@
         assert!(ended.age() < GOAL / 4, "a refusal comes at once: {ended:?}");
         let key = (ended.daemon, ended.query);
         assert!(
-            world.sends.iter().all(|send| send.2 != key),
+            world.sends.iter().all(|send| send.request != key),
             "it has not run"
         );
     }
