--- a/daemon/src/forward/forward_feed.rs
+++ b/daemon/src/forward/forward_feed.rs
@@ -61,7 +61,8 @@
                 daemon,
                 address,
                 after,
-            } => self.ask_reader(address, daemon, after),
+                patience,
+            } => self.ask_reader(address, daemon, after, patience),
         }
         self.feed_busy = true;
     }
--- a/daemon/src/forward/forward_peers.rs
+++ b/daemon/src/forward/forward_peers.rs
@@ -49,9 +49,6 @@
     peering::PeerInput, //
 };
 
-/// Longest wait for a reader, which holds a question for a second at most.
-const READER_TIMEOUT: Duration = Duration::from_millis(1_500);
-
 /// A daemon that waits for news of the directory.
 #[derive(Debug)]
 pub(super) struct WaitingCall {
@@ -231,11 +228,17 @@
     }
 
     /// The reply to a step of the directory's watch that asks a reader.
-    pub(super) fn ask_reader(&self, to: SocketAddr, daemon: DaemonName, after: Option<u64>) {
+    pub(super) fn ask_reader(
+        &self,
+        to: SocketAddr,
+        daemon: DaemonName,
+        after: Option<u64>,
+        patience: Duration,
+    ) {
         let asking = self.ask_feed(to, after);
         let events = self.events.clone();
         spawn_local(async move {
-            let page = timeout(READER_TIMEOUT, asking).await.ok().flatten();
+            let page = timeout(patience, asking).await.ok().flatten();
             let news = DirectoryNews::ReaderTold { daemon, page };
             // The loop is gone only when the process ends.
             let _ = events.send(DeskEvent::Directory(news));
--- a/policy/src/directory/directory_feed.rs
+++ b/policy/src/directory/directory_feed.rs
@@ -39,6 +39,11 @@
 const FRESH_PERIOD: Duration = Duration::from_millis(1_600);
 /// Longest time for which a question of another daemon waits for news.
 const HOLD_PERIOD: Duration = Duration::from_millis(1_000);
+/// Longest wait for a reader, which holds a question for a second at most.
+const READER_PATIENCE: Duration = Duration::from_millis(1_500);
+/// The same for a daemon that is not ready yet: a reader that has nothing to hold back answers within a
+/// few round trips, and one that has lost its power with it never does.
+const START_PATIENCE: Duration = Duration::from_millis(200);
 /// First and longest pause of a reader after the store did not answer.
 const RETRY_MIN: Duration = Duration::from_millis(100);
 const RETRY_MAX: Duration = Duration::from_millis(800);
@@ -61,6 +66,8 @@
         address: SocketAddr,
         /// The revision known; `None` asks for all.
         after: Option<u64>,
+        /// Longest wait for the answer.
+        patience: Duration,
     },
     /// Nothing before this time.
     Rest {
@@ -141,6 +148,10 @@
                 daemon: peer.daemon,
                 address: peer.address,
                 after: self.revision,
+                patience: match self.is_ready() {
+                    true => READER_PATIENCE,
+                    false => START_PATIENCE,
+                },
             },
             FeedSource::Nobody(until) => FeedStep::Rest { until },
         }
--- a/policy/tests/directory.rs
+++ b/policy/tests/directory.rs
@@ -279,6 +279,27 @@
     assert_eq!(step, FeedStep::ReadChanges { after: 10 });
 }
 
+/// A daemon that starts beside one that has lost its power too does not wait for it as long as one that
+/// only wants news.
+#[test]
+fn a_starting_daemon_is_soon_done_with_a_silent_reader() {
+    let mut feeds = feeds(10);
+    let mut all = feeds.values_mut();
+    let feed = all
+        .find_map(|feed| matches!(feed.step(NOW), FeedStep::AskPeer { .. }).then_some(feed))
+        .unwrap();
+    let patience_of = |feed: &mut DirectoryFeed| match feed.step(NOW) {
+        FeedStep::AskPeer { patience, .. } => patience,
+        step => panic!("{step:?}"),
+    };
+    assert!(patience_of(feed) <= ms(250));
+    feed.peer_told(NOW, whole(10));
+    assert!(
+        patience_of(feed) > ms(1_000),
+        "longer than a reader holds a question"
+    );
+}
+
 /// The renewals of a long time are more than the directory itself, and take longer to read than an
 /// answer may.
 #[test]
