Ask the store again soon after one lost call

Changed: the pause starts at 600 ms and doubles with calls that fail in a row, up to that length and 4 s. Test: one_lost_call_does_not_silence_a_daemon; the first pause was 5.46 s by the old rule, bound 1 s.

--- a/policy/src/directory/directory_feed.rs
+++ b/policy/src/directory/directory_feed.rs
@@ -161,6 +161,7 @@
     /// had not answered before.
     pub fn store_read(&mut self, now: TimePoint, page: FeedPage) -> (Vec<DirectoryEvent>, bool) {
         self.failures = 0;
+        self.plan.store_answered();
         self.read_at = Some(now);
         self.next_read = now + READ_PERIOD;
         let back = self.book.store_answered(now);
--- a/policy/src/directory/feed_plan.rs
+++ b/policy/src/directory/feed_plan.rs
@@ -22,9 +22,11 @@
 const READERS: usize = 2;
 /// Time for which a reader is not asked after it failed to answer.
 const PEER_AVOID: Duration = Duration::from_secs(2);
-/// Pause before the next call of a daemon that is no reader and did not reach the store, for each
-/// daemon: together they make a few calls a second.
+/// Longest pause of a daemon that is no reader and does not reach the store, for each daemon: together
+/// they make a few calls a second. A single call may be lost by chance, so that the pause doubles up to it.
 const STORE_AVOID_EACH: Duration = Duration::from_millis(60);
+/// Longest pause whatever their number: within the time after a fault in which nothing is promised.
+const STORE_AVOID_MAX: Duration = Duration::from_secs(4);
 /// Shortest such pause, and that of a reader.
 const STORE_AVOID_MIN: Duration = Duration::from_millis(600);
 
@@ -58,6 +60,8 @@
     peers: Vec<FeedPeer>,
     avoided: BTreeMap<DaemonName, TimePoint>,
     store_from: TimePoint,
+    /// Calls in a row that the store did not answer.
+    store_failures: u32,
 }
 
 impl FeedPlan {
@@ -69,6 +73,7 @@
             peers: Vec::new(),
             avoided: BTreeMap::new(),
             store_from: TimePoint(0),
+            store_failures: 0,
         }
     }
 
@@ -92,11 +97,20 @@
     /// Notes that the store did not answer.
     pub(super) fn store_failed(&mut self, now: TimePoint) {
         let daemons = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
-        let pause = match self.is_reader() {
+        let most = match self.is_reader() {
             true => STORE_AVOID_MIN,
-            false => STORE_AVOID_EACH.saturating_mul(daemons),
+            false => STORE_AVOID_EACH
+                .saturating_mul(daemons)
+                .min(STORE_AVOID_MAX),
         };
-        self.store_from = now + pause.max(STORE_AVOID_MIN);
+        let doubled = STORE_AVOID_MIN * (1 << self.store_failures.min(8));
+        self.store_failures += 1;
+        self.store_from = now + doubled.min(most).max(STORE_AVOID_MIN);
+    }
+
+    /// Notes that the store answered.
+    pub(super) fn store_answered(&mut self) {
+        self.store_failures = 0;
     }
 
     /// Where to read next.
--- a/policy/tests/directory.rs
+++ b/policy/tests/directory.rs
@@ -254,6 +254,47 @@
     assert!(follower.peer_told(NOW, stale).0.is_empty());
 }
 
+/// The readers have lost the store, and one call of this daemon's own is lost by chance: it is made
+/// again soon, and only calls that fail in a row grow rare.
+#[test]
+fn one_lost_call_does_not_silence_a_daemon() {
+    let mut feeds = feeds(91);
+    let mut all = feeds.values_mut();
+    let feed = all
+        .find_map(|feed| matches!(feed.step(NOW), FeedStep::AskPeer { .. }).then_some(feed))
+        .unwrap();
+    let mut now = NOW;
+    let mut pauses = Vec::new();
+    for _ in 0..6 {
+        while let FeedStep::AskPeer { daemon, .. } = feed.step(now) {
+            feed.peer_failed(now, &daemon);
+        }
+        assert_eq!(feed.step(now), FeedStep::ReadAll);
+        feed.store_failed(now);
+        let failed = now;
+        // Until the store's turn comes again.
+        loop {
+            match feed.step(now) {
+                FeedStep::Rest { until } => now = until,
+                FeedStep::AskPeer { daemon, .. } => feed.peer_failed(now, &daemon),
+                _ => break,
+            }
+        }
+        pauses.push(now.since(failed));
+    }
+    assert!(pauses[0] <= ms(1_000), "{pauses:?}");
+    assert!(
+        pauses[5] >= ms(3_000) && pauses[5] <= ms(4_500),
+        "{pauses:?}"
+    );
+    feed.store_read(now, whole(10));
+    feed.store_failed(now + ms(1_000));
+    let FeedStep::Rest { until } = feed.step(now + ms(1_000)) else {
+        panic!("a pause");
+    };
+    assert!(until <= now + ms(2_000), "counted anew after an answer");
+}
+
 /// A reader that the store turns away asks the other one, and comes back to the store.
 #[test]
 fn a_reader_without_the_store_asks_the_other() {
