Keep to one far replica of a shard and drop its connections sooner

After all daemons lose power, the replicas go on counting the connections of before. Of three equally far replicas a hedge went to any, and each such connection was kept for 10 s: with 91 daemons a replica held some 50 dead connections and got as many new ones, over the 78 that it accepts.

Change: a daemon ranks far replicas by its own habit, so that hedges of a shard go to the same one; connections to replicas that are not the nearest are kept for 3 s at most. A daemon that starts again waits 100 ms for the others, not 250: where all start at once none of them answers in that time anyway (first news of peers came a second later in the trace). One back-off for a store that does not answer instead of two. An exchange knows its request, so that no reply searches all calls.

Ruled out: the time to the first reading of the store (10 ms to 100 ms), own restarts of single daemons (no broken attempts around them).

--- a/daemon/src/forward/call_desk.rs
+++ b/daemon/src/forward/call_desk.rs
@@ -96,8 +96,6 @@
     pub(super) attempts: u32,
     /// Requests sent for it.
     pub(super) sends: u32,
-    /// Attempts whose replies may be relayed.
-    pub(super) relayable: SmallVec<[AttemptId; 2]>,
     /// Replies that may be relayed.
     pub(super) replies: SmallVec<[(AttemptId, WholeReply); 1]>,
     /// Whether replies are kept for relaying.
--- a/daemon/src/forward/forward_calls.rs
+++ b/daemon/src/forward/forward_calls.rs
@@ -41,7 +41,10 @@
         ArrivedRequest,
         CallerReply, //
     },
-    forward_loop::ForwardLoop,
+    forward_loop::{
+        ForwardLoop,
+        RunningExchange, //
+    },
     forward_metrics::{
         RouteLabel,
         RouteLabels, //
@@ -54,6 +57,10 @@
     log_event, //
 };
 
+/// Longest time for which an idle connection to a replica is kept where another one is nearer: a
+/// replica accepts fewer connections than there are daemons, and goes on counting those of daemons
+/// that lost their power.
+const FAR_LIMIT: Duration = Duration::from_secs(3);
 /// When to ask again while there is no configuration: a start takes about that long.
 const RETRY_STARTING: Duration = Duration::from_millis(500);
 
@@ -84,7 +91,6 @@
             arrived: arrival,
             sends: 0,
             attempts: if spec.idempotent { spec.attempts } else { 1 },
-            relayable: SmallVec::new(),
             replies: SmallVec::new(),
             relays: !matches!(spec.target, RouteTarget::Gather { .. }),
             answer: arrived.answer,
@@ -117,13 +123,17 @@
         end: ExchangeEnd,
     ) {
         // An exchange that was given up while its end was on the way changes nothing.
-        if self.running.remove(&attempt).is_none() {
+        let Some(RunningExchange { query, far, .. }) = self.running.remove(&attempt) else {
             return;
-        }
+        };
         if end.opened {
             self.metrics.opened.inc();
         }
-        if let Some(link) = end.link {
+        if let Some(mut link) = end.link {
+            if far {
+                let limit = link.idle_limit.unwrap_or(FAR_LIMIT);
+                link.idle_limit = Some(limit.min(FAR_LIMIT));
+            }
             self.shelf.put(now, replica, link);
         }
         let event = match end.result {
@@ -131,9 +141,7 @@
             Err(failure) => ForwardEvent::Failed { attempt, failure },
         };
         if let Some(reply) = end.reply {
-            let mut desks = self.calls.values_mut();
-            if let Some(desk) = desks.find(|desk| desk.relays && desk.relayable.contains(&attempt))
-            {
+            if let Some(desk) = self.calls.get_mut(&query).filter(|desk| desk.relays) {
                 desk.replies.push((attempt, reply));
             }
         }
--- a/daemon/src/forward/forward_loop.rs
+++ b/daemon/src/forward/forward_loop.rs
@@ -78,6 +78,18 @@
 const WARM_MAX: usize = 12;
 /// Interval of the cleaning of idle connections.
 const SWEEP_PERIOD: Duration = Duration::from_secs(1);
+
+/// An exchange with a replica.
+#[derive(Debug)]
+pub(super) struct RunningExchange {
+    /// The request that it is for.
+    pub(super) query: QueryId,
+    /// Whether another replica of the service is nearer.
+    pub(super) far: bool,
+    /// Ends it.
+    pub(super) abort: AbortHandle,
+}
+
 /// The state of the loop.
 pub(super) struct ForwardLoop {
     pub(super) clock: DaemonClock,
@@ -94,7 +106,7 @@
     pub(super) last_reply: u64,
     pub(super) index: Option<Arc<RouteIndex>>,
     pub(super) calls: HashMap<QueryId, CallDesk>,
-    pub(super) running: HashMap<AttemptId, AbortHandle>,
+    pub(super) running: HashMap<AttemptId, RunningExchange>,
     pub(super) shelf: LinkShelf,
     /// Replicas to which a connection is being opened before it is needed.
     pub(super) warming: BTreeSet<ReplicaKey>,
@@ -203,7 +215,7 @@
                 ForwardAction::Send(order) => self.send(now, order),
                 ForwardAction::Cancel { attempt } => {
                     if let Some(running) = self.running.remove(&attempt) {
-                        running.abort();
+                        running.abort.abort();
                     }
                 }
                 ForwardAction::CloseIdle { replica } | ForwardAction::Forget { replica } => {
@@ -244,15 +256,13 @@
             return;
         };
         desk.sends += 1;
-        if desk.relays {
-            desk.relayable.push(order.attempt);
-        }
         self.metrics.sends.inc();
         let request = desk.head.request(&order, now);
         let id = desk.head.id.clone();
         let link = self.shelf.take(now, order.replica);
         let events = self.events.clone();
-        let (attempt, replica, address) = (order.attempt, order.replica, order.address);
+        let (attempt, query) = (order.attempt, order.query);
+        let (replica, address) = (order.replica, order.address);
         let task = spawn_local(async move {
             let end = run_exchange(link, address, request, id).await;
             // The loop is gone only when the process ends.
@@ -262,7 +272,12 @@
                 end: Box::new(end),
             });
         });
-        self.running.insert(attempt, task.abort_handle());
+        let running = RunningExchange {
+            query,
+            far: order.far,
+            abort: task.abort_handle(),
+        };
+        self.running.insert(attempt, running);
     }
 
     fn note(&mut self, now: TimePoint, note: &ForwardNote) {
--- a/daemon/src/forward/run_forward.rs
+++ b/daemon/src/forward/run_forward.rs
@@ -120,7 +120,7 @@
 /// Time to find the other daemons before the store is read, where all start at once.
 const FIRST_JOIN: Duration = Duration::from_millis(1_500);
 /// The same where the others are there already.
-const LATER_JOIN: Duration = Duration::from_millis(250);
+const LATER_JOIN: Duration = Duration::from_millis(100);
 /// Time for the last replies to leave.
 const LAST_LINGER: Duration = Duration::from_millis(100);
 
--- a/policy/src/directory/directory_feed.rs
+++ b/policy/src/directory/directory_feed.rs
@@ -44,9 +44,6 @@
 /// The same for a daemon that is not ready yet: a reader that has nothing to hold back answers within a
 /// few round trips, and one that has lost its power with it never does.
 const START_PATIENCE: Duration = Duration::from_millis(200);
-/// First and longest pause of a reader after the store did not answer.
-const RETRY_MIN: Duration = Duration::from_millis(100);
-const RETRY_MAX: Duration = Duration::from_millis(800);
 
 /// What to do next to keep up with the directory.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -98,8 +95,8 @@
     read_at: Option<TimePoint>,
     /// When anything was last read.
     told_at: TimePoint,
+    /// When the store is read again after it answered; the plan knows when after it did not.
     next_read: TimePoint,
-    failures: u32,
 }
 
 impl DirectoryFeed {
@@ -113,7 +110,6 @@
             read_at: None,
             told_at: TimePoint(0),
             next_read: TimePoint(0),
-            failures: 0,
         }
     }
 
@@ -160,7 +156,6 @@
     /// Takes in a page that was read from the store; gives what takes effect. True where the store
     /// had not answered before.
     pub fn store_read(&mut self, now: TimePoint, page: FeedPage) -> (Vec<DirectoryEvent>, bool) {
-        self.failures = 0;
         self.plan.store_answered();
         self.read_at = Some(now);
         self.next_read = now + READ_PERIOD;
@@ -170,10 +165,8 @@
 
     /// Notes that the store did not answer; true where it did before.
     pub fn store_failed(&mut self, now: TimePoint) -> bool {
-        let doubled = RETRY_MIN * (1 << self.failures.min(8));
-        self.failures += 1;
-        self.next_read = now + doubled.min(RETRY_MAX);
         self.read_at = None;
+        self.next_read = TimePoint(0);
         self.plan.store_failed(now);
         self.book.store_lost()
     }
--- a/policy/src/forward/delivery.rs
+++ b/policy/src/forward/delivery.rs
@@ -183,6 +183,7 @@
             address,
             deadline: run.close_at,
             extra,
+            far: self.fleet.is_far(key),
         }));
     }
 
--- a/policy/src/forward/forward_action.rs
+++ b/policy/src/forward/forward_action.rs
@@ -32,6 +32,8 @@
     pub deadline: TimePoint,
     /// Whether the service had the request before.
     pub extra: bool,
+    /// Whether another replica of the service is nearer.
+    pub far: bool,
 }
 
 /// An action for the daemon.
--- a/policy/src/forward/forward_engine.rs
+++ b/policy/src/forward/forward_engine.rs
@@ -6,6 +6,7 @@
         BTreeSet, //
     },
     net::SocketAddr,
+    sync::Arc,
     time::Duration, //
 };
 
@@ -205,8 +206,9 @@
         call: ForwardCall,
         actions: &mut Vec<ForwardAction>,
     ) {
+        let index = Arc::clone(&call.index);
+        let spec = &index.table.routes[call.route];
         let mut run = ForwardRun::new(query, call.index, call.route, now);
-        let spec = run.spec().clone();
         let state = self.routes.entry(spec.name.clone()).or_default();
         let age = state.age(call.patience);
         let patience = call.patience.unwrap_or(spec.timeout);
--- a/policy/src/forward/forward_run.rs
+++ b/policy/src/forward/forward_run.rs
@@ -57,8 +57,8 @@
     pub(super) due: TimePoint,
     /// Its place in the service's line, where it waits for a replica.
     pub(super) waiting: Option<WaitingPart>,
-    /// A failing reply that is relayed when nothing better comes.
-    pub(super) fallback: Option<AttemptId>,
+    /// The attempt whose reply is relayed: the good one, else a failing one.
+    pub(super) relayed: Option<AttemptId>,
 }
 
 impl ForwardPart {
@@ -72,7 +72,7 @@
             sent: false,
             due: TimePoint::NEVER,
             waiting: None,
-            fallback: None,
+            relayed: None,
         }
     }
 }
--- a/policy/src/forward/outcomes.rs
+++ b/policy/src/forward/outcomes.rs
@@ -93,13 +93,13 @@
                     Default::default()
                 },
             };
-            part.fallback = Some(attempt);
+            part.relayed = Some(attempt);
             return;
         }
         // A success without a signature is not the replica's, and a status that promises that nothing
         // ran is not for a request that did.
-        let relayed = reply.status >= 500 && reply.status != 503;
-        part.fallback = Some(attempt).filter(|_| relayed).or(part.fallback);
+        let relays = reply.status >= 500 && reply.status != 503;
+        part.relayed = Some(attempt).filter(|_| relays).or(part.relayed);
         self.note_failure(now, track, "ran_failed", actions);
         if idempotent && run.parts[track.part].ran < attempts {
             self.relaunch(now, run, track.part, actions);
--- a/policy/src/forward/replica_fleet.rs
+++ b/policy/src/forward/replica_fleet.rs
@@ -20,6 +20,8 @@
     ZoneName, //
 };
 
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 use super::{
     replica_record::ReplicaRecord,
     service_state::ServiceState,
@@ -58,8 +60,11 @@
 const SLACK_SHARE: f64 = 0.6;
 /// Part of the ratio that is used, for the same reason.
 const RATIO_SHARE: f64 = 0.92;
-/// Spread of costs by chance, so that equal replicas share the work.
+/// Spread of costs by chance, so that equal replicas of the same data centre share the work.
 const CHANCE_MS: f64 = 1.0;
+/// Spread of what replicas in other data centres cost a daemon, always the same: it keeps to one of
+/// several that are equally far, and so holds connections to few of them.
+const HABIT_MS: f64 = 4.0;
 
 /// What came of asking for a replica.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -169,6 +174,9 @@
         self.names.insert(entry.name.clone(), key);
         let mut record = ReplicaRecord::new(now, entry, service);
         (record.link_ms, record.distance_cost_ms) = self.distance(&record.entry.zone);
+        if record.distance_cost_ms > 0.0 {
+            record.distance_cost_ms += self.habit(&record.entry.name) * HABIT_MS;
+        }
         self.records.insert(key, record);
         self.services[service].members.push(key);
         (replaced, true)
@@ -197,7 +205,10 @@
             // slower still.
             let busy = record.out.len() >= limit;
             let wait = if busy { usual } else { 0.0 };
-            let chance = self.random.random_range(0.0..CHANCE_MS);
+            let chance = match record.distance_cost_ms > 0.0 {
+                true => 0.0,
+                false => self.random.random_range(0.0..CHANCE_MS),
+            };
             let cost = record.cost(now, usual) + wait + chance;
             if best.is_none_or(|(least, _, _)| cost < least) {
                 best = Some((cost, *key, busy));
@@ -231,6 +242,16 @@
         nearest.map(|(key, record)| (key, record.entry.address))
     }
 
+    /// Whether a replica is farther away than another one of its service.
+    pub(super) fn is_far(&self, key: ReplicaKey) -> bool {
+        let Some(record) = self.records.get(&key) else {
+            return false;
+        };
+        let members = self.services[record.service].members.iter();
+        let mut others = members.filter_map(|key| self.records.get(key));
+        others.any(|other| other.link_ms < record.link_ms)
+    }
+
     /// Median work of a service.
     pub(super) fn usual(&self, service: usize) -> Duration {
         Duration::from_secs_f64(usual_ms(&self.services[service]) / 1000.0)
@@ -335,6 +356,12 @@
         }
     }
 
+    /// Rank of a replica for this daemon, from 0 to 1.
+    fn habit(&self, name: &ReplicaName) -> f64 {
+        let rank = xxh3_64_with_seed(name.as_str().as_bytes(), self.settings.seed);
+        rank as f64 / u64::MAX as f64
+    }
+
     /// Round trip to a data centre, and what its use costs beside the time.
     fn distance(&self, zone: &ZoneName) -> (f64, f64) {
         if *zone == self.settings.zone {
--- a/policy/src/forward/settling.rs
+++ b/policy/src/forward/settling.rs
@@ -154,7 +154,7 @@
     if !hopeless && now < run.close_at {
         return None;
     }
-    if let Some(attempt) = run.parts.iter().find_map(|part| part.fallback) {
+    if let Some(attempt) = run.parts.iter().find_map(|part| part.relayed) {
         if !run.is_gather() {
             return Some(ForwardAnswer::Relayed { attempt });
         }
@@ -164,7 +164,7 @@
 
 fn success_of(run: &ForwardRun) -> ForwardAnswer {
     let RouteTarget::Gather { top, .. } = run.spec().target else {
-        let attempt = run.parts.iter().find_map(|part| part.fallback);
+        let attempt = run.parts.iter().find_map(|part| part.relayed);
         return ForwardAnswer::Relayed {
             attempt: attempt.unwrap_or_default(),
         };
