Exit although nobody reads the log, and tell of more decisions

Cause: found by the new test of a log that nobody reads. The process never ended after SIGTERM: the log's writer was joined at exit while it blocked on a full pipe. Besides, requests refused at their arrival (no configuration yet, no route, no id) left neither a line nor a count, a replica that came back left no line, and the metrics lacked the budget, replicas by state, what waits, and the store's readings by outcome.

Change: the end waits 200 ms for the writer at most. E7011 and E7012; E7001 names the replica of a relayed reply; four metrics.

After: exit 0, and 10 s of requests at full rate were each answered within a second.

--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -100,6 +100,10 @@
     SETTINGS_CHANGED = "E7009" Info "settings changed, in use from the next start";
     /// A daemon that reads the directory did not answer.
     READER_FAILED = "E7010" Warning "reader of the directory did not answer";
+    /// A replica that was avoided has replied.
+    REPLICA_BACK = "E7011" Info "replica reached again";
+    /// A request was refused at its arrival.
+    REQUEST_REFUSED = "E7012" Info "request refused at arrival";
 }
 
 /// Logs an event of the catalogue with fields: `log_event!(log, events::READY, "key" => value)`.
--- a/daemon/src/forward/call_desk.rs
+++ b/daemon/src/forward/call_desk.rs
@@ -18,6 +18,7 @@
 use policy::forward::ForwardOrder;
 use schema::{
     AttemptId,
+    ReplicaName,
     RouteName,
     TimePoint, //
 };
@@ -96,6 +97,8 @@
     pub(super) attempts: u32,
     /// Requests sent for it.
     pub(super) sends: u32,
+    /// The replica that had it last, where one reply answers it.
+    pub(super) replica: Option<ReplicaName>,
     /// Replies that may be relayed.
     pub(super) replies: SmallVec<[(AttemptId, WholeReply); 1]>,
     /// Whether replies are kept for relaying.
--- a/daemon/src/forward/desk_event.rs
+++ b/daemon/src/forward/desk_event.rs
@@ -59,7 +59,12 @@
 #[derive(Debug)]
 pub(super) enum DirectoryNews {
     /// The store answered, or did not.
-    StoreRead(Result<StoreReading, ReadError>),
+    StoreRead {
+        /// What was asked for.
+        call: &'static str,
+        /// What came of it.
+        reading: Result<StoreReading, ReadError>,
+    },
     /// A reader answered, or did not or is stale.
     ReaderTold {
         /// The reader.
--- a/daemon/src/forward/forward_calls.rs
+++ b/daemon/src/forward/forward_calls.rs
@@ -7,7 +7,6 @@
 
 use http::{
     header,
-    HeaderMap,
     HeaderValue,
     StatusCode, //
 };
@@ -27,6 +26,7 @@
 use schema::{
     AttemptId,
     QueryId,
+    ReplicaName,
     RouteTarget,
     TimePoint, //
 };
@@ -46,6 +46,7 @@
         RunningExchange, //
     },
     forward_metrics::{
+        ReasonLabel,
         RouteLabel,
         RouteLabels, //
     },
@@ -64,23 +65,31 @@
 /// When to ask again while there is no configuration: a start takes about that long.
 const RETRY_STARTING: Duration = Duration::from_millis(500);
 
+/// Why a request is refused at its arrival.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum EarlyRefusal {
+    /// No configuration is known yet.
+    Starting,
+    /// No route of the table takes it.
+    NoRoute,
+    /// It has no id, or no usable one.
+    NoId,
+}
+
 impl ForwardLoop {
     /// Takes a request in.
     pub(super) fn arrive(&mut self, now: TimePoint, arrived: ArrivedRequest) {
         let arrival = now - arrived.age;
         let (Some(index), true) = (self.index.clone(), self.feed.is_ready()) else {
-            let mut headers = HeaderMap::new();
-            retry_after(&mut headers, RETRY_STARTING);
-            refuse(arrived, StatusCode::SERVICE_UNAVAILABLE, headers);
+            self.refuse(now, arrived, EarlyRefusal::Starting);
             return;
         };
-        let host = host_of(&arrived);
-        let Some(route) = index.find(host, arrived.head.uri.path()) else {
-            refuse(arrived, StatusCode::NOT_FOUND, HeaderMap::new());
+        let Some(route) = index.find(host_of(&arrived), arrived.head.uri.path()) else {
+            self.refuse(now, arrived, EarlyRefusal::NoRoute);
             return;
         };
         let Some(id) = request_id(&arrived.head.headers).cloned() else {
-            refuse(arrived, StatusCode::BAD_REQUEST, HeaderMap::new());
+            self.refuse(now, arrived, EarlyRefusal::NoId);
             return;
         };
         let spec = &index.table.routes[route];
@@ -90,6 +99,7 @@
             route: spec.name.clone(),
             arrived: arrival,
             sends: 0,
+            replica: None,
             attempts: if spec.idempotent { spec.attempts } else { 1 },
             replies: SmallVec::new(),
             relays: !matches!(spec.target, RouteTarget::Gather { .. }),
@@ -192,6 +202,32 @@
         let _ = desk.answer.send(reply);
     }
 
+    /// Refuses a request that can't be served whatever the replicas do.
+    fn refuse(&mut self, now: TimePoint, arrived: ArrivedRequest, refusal: EarlyRefusal) {
+        let (reason, status) = match refusal {
+            EarlyRefusal::Starting => ("starting", StatusCode::SERVICE_UNAVAILABLE),
+            EarlyRefusal::NoRoute => ("no_route", StatusCode::NOT_FOUND),
+            EarlyRefusal::NoId => ("no_id", StatusCode::BAD_REQUEST),
+        };
+        let mut reply = status_reply(status);
+        if refusal == EarlyRefusal::Starting {
+            retry_after(&mut reply.headers, RETRY_STARTING);
+        }
+        let labels = ReasonLabel { reason };
+        self.metrics.refusals.get_or_create(&labels).inc();
+        if self.notes.may_write(now, true) {
+            let id = request_id(&arrived.head.headers);
+            log_event!(
+                self.notes.log, events::REQUEST_REFUSED,
+                "request" => id.and_then(|id| id.to_str().ok()).unwrap_or(""), "reason" => reason,
+                "host" => host_of(&arrived), "path" => arrived.head.uri.path(),
+                "table" => self.feed.version().map_or(0, |version| version.0),
+            );
+        }
+        // A caller that has just left reports it by its guard.
+        let _ = arrived.answer.send(reply);
+    }
+
     fn count_answer(
         &mut self,
         now: TimePoint,
@@ -214,7 +250,7 @@
         log_event!(
             self.notes.log, events::REQUEST_ENDED,
             "request" => desk.head.id.to_str().unwrap_or("?"), "route" => %desk.route,
-            "result" => result, "age_ms" => millis(age), "sends" => desk.sends, "attempts" => desk.attempts,
+            "result" => result, "replica" => desk.replica.as_ref().map(ReplicaName::as_str), "age_ms" => millis(age), "sends" => desk.sends, "attempts" => desk.attempts,
             "missing" => missing, "table" => self.feed.version().map_or(0, |version| version.0),
         );
     }
@@ -227,16 +263,6 @@
     }
 }
 
-fn refuse(arrived: ArrivedRequest, status: StatusCode, headers: HeaderMap) {
-    let reply = CallerReply {
-        status,
-        headers,
-        ..CallerReply::default()
-    };
-    // A caller that has just left reports it by its guard.
-    let _ = arrived.answer.send(reply);
-}
-
 fn host_of(arrived: &ArrivedRequest) -> &str {
     let host = arrived
         .head
--- a/daemon/src/forward/forward_feed.rs
+++ b/daemon/src/forward/forward_feed.rs
@@ -24,6 +24,7 @@
         DirectoryNews, //
     },
     forward_loop::ForwardLoop,
+    forward_metrics::StoreLabels,
     store_reader::ReadError, //
 };
 use crate::{
@@ -68,7 +69,6 @@
     }
 
     fn read_store(&self, after: Option<u64>) {
-        self.metrics.store_reads.inc();
         let reader = self.reader.clone();
         let events = self.events.clone();
         spawn_local(async move {
@@ -77,7 +77,9 @@
                 None => reader.read_all().await,
             };
             // The loop is gone only when the process ends.
-            let _ = events.send(DeskEvent::Directory(DirectoryNews::StoreRead(reading)));
+            let call = if after.is_some() { "changes" } else { "all" };
+            let news = DirectoryNews::StoreRead { call, reading };
+            let _ = events.send(DeskEvent::Directory(news));
         });
     }
 
@@ -85,8 +87,22 @@
     pub(super) fn take_news(&mut self, now: TimePoint, news: DirectoryNews) {
         self.feed_busy = false;
         self.feed_at = now;
+        if let DirectoryNews::StoreRead { call, reading } = &news {
+            let result = match reading {
+                Ok(_) => "answered",
+                Err(ReadError::HistoryGone) => "history_gone",
+                Err(ReadError::Refused(_)) => "refused",
+                Err(ReadError::BadAnswer(_)) => "bad_answer",
+                Err(ReadError::CallFailed(_)) => "failed",
+            };
+            let labels = StoreLabels { call, result };
+            self.metrics.store_reads.get_or_create(&labels).inc();
+        }
         match news {
-            DirectoryNews::StoreRead(Ok(reading)) => {
+            DirectoryNews::StoreRead {
+                reading: Ok(reading),
+                ..
+            } => {
                 for problem in reading.problems {
                     if self.notes.may_write(now, true) {
                         let problem = problem.to_string();
@@ -99,8 +115,14 @@
                 }
                 self.take_effects(now, effects);
             }
-            DirectoryNews::StoreRead(Err(ReadError::HistoryGone)) => self.feed.history_gone(),
-            DirectoryNews::StoreRead(Err(error)) => {
+            DirectoryNews::StoreRead {
+                reading: Err(ReadError::HistoryGone),
+                ..
+            } => self.feed.history_gone(),
+            DirectoryNews::StoreRead {
+                reading: Err(error),
+                ..
+            } => {
                 if self.feed.store_failed(now) {
                     self.metrics.store_lost.inc();
                     let problem = error.to_string();
--- a/daemon/src/forward/forward_loop.rs
+++ b/daemon/src/forward/forward_loop.rs
@@ -49,7 +49,9 @@
     desk_event::DeskEvent,
     forward_metrics::{
         CauseLabels,
-        ForwardMetrics, //
+        ForwardMetrics,
+        ServiceLabel,
+        StateLabel, //
     },
     forward_notes::ForwardNotes,
     forward_peers::WaitingCall,
@@ -186,7 +188,7 @@
             self.sweep_at = now + SWEEP_PERIOD;
             self.shelf.sweep(now);
             self.warm(now);
-            self.publish_gauges();
+            self.publish_gauges(now);
         }
         if self.quiet_until <= now {
             self.quiet_until = TimePoint::NEVER;
@@ -256,6 +258,9 @@
             return;
         };
         desk.sends += 1;
+        if desk.relays {
+            desk.replica = Some(order.name.clone());
+        }
         self.metrics.sends.inc();
         let request = desk.head.request(&order, now);
         let id = desk.head.id.clone();
@@ -301,10 +306,25 @@
         self.notes.write(now, note, id.unwrap_or(""));
     }
 
-    fn publish_gauges(&self) {
+    fn publish_gauges(&self, now: TimePoint) {
         let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
         self.metrics.in_flight.set(gauge(self.calls.len()));
         self.metrics.idle.set(gauge(self.shelf.count()));
-        self.metrics.replicas.set(gauge(self.engine.replicas()));
+        let status = self.engine.status(now);
+        for (state, count) in status.replicas {
+            let labels = StateLabel { state };
+            self.metrics
+                .replicas
+                .get_or_create(&labels)
+                .set(gauge(count));
+        }
+        for (service, left) in status.budgets {
+            let labels = ServiceLabel {
+                service: service.to_string(),
+            };
+            let left = i64::from(left);
+            self.metrics.budget.get_or_create(&labels).set(left);
+        }
+        self.metrics.waiting.set(gauge(status.waiting));
     }
 }
--- a/daemon/src/forward/forward_metrics.rs
+++ b/daemon/src/forward/forward_metrics.rs
@@ -33,6 +33,36 @@
     pub(super) cause: &'static str,
 }
 
+/// Label of a reason.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(super) struct ReasonLabel {
+    /// The reason.
+    pub(super) reason: &'static str,
+}
+
+/// Label of a replica's state.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(super) struct StateLabel {
+    /// The state.
+    pub(super) state: &'static str,
+}
+
+/// Labels of a call to the store.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(super) struct StoreLabels {
+    /// What was asked for.
+    pub(super) call: &'static str,
+    /// How it ended.
+    pub(super) result: &'static str,
+}
+
+/// Label of a service.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(super) struct ServiceLabel {
+    /// Service.
+    pub(super) service: String,
+}
+
 /// Label of a route.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub(super) struct RouteLabel {
@@ -45,6 +75,8 @@
 pub(super) struct ForwardMetrics {
     /// Requests by route and outcome.
     pub(super) requests: Family<RouteLabels, Counter>,
+    /// Requests refused before they had a route to go by, by reason.
+    pub(super) refusals: Family<ReasonLabel, Counter>,
     /// Time from arrival to answer by route.
     pub(super) latency: Family<RouteLabel, Histogram>,
     /// Requests sent to replicas.
@@ -59,14 +91,18 @@
     pub(super) in_flight: Gauge,
     /// Idle connections to replicas.
     pub(super) idle: Gauge,
-    /// Replicas in the directory.
-    pub(super) replicas: Gauge,
+    /// Replicas by state.
+    pub(super) replicas: Family<StateLabel, Gauge>,
+    /// Second sends that the budget of a service still allows.
+    pub(super) budget: Family<ServiceLabel, Gauge>,
+    /// Parts of requests that wait for a replica.
+    pub(super) waiting: Gauge,
     /// Version of the table in force.
     pub(super) table: Gauge,
     /// Daemons known, this one included.
     pub(super) daemons: Gauge,
-    /// Readings of the directory's store.
-    pub(super) store_reads: Counter,
+    /// Readings of the directory's store by kind and outcome.
+    pub(super) store_reads: Family<StoreLabels, Counter>,
     /// Times that the directory's store was lost.
     pub(super) store_lost: Counter,
     /// Log lines left out because there were too many.
@@ -79,6 +115,7 @@
         let mut registry = Registry::with_prefix("pollentally");
         let metrics = Self {
             requests: Family::default(),
+            refusals: Family::default(),
             latency: Family::new_with_constructor(|| {
                 Histogram::new(exponential_buckets(0.002, 2.0, 13))
             }),
@@ -88,10 +125,12 @@
             opened: Counter::default(),
             in_flight: Gauge::default(),
             idle: Gauge::default(),
-            replicas: Gauge::default(),
+            replicas: Family::default(),
+            budget: Family::default(),
+            waiting: Gauge::default(),
             table: Gauge::default(),
             daemons: Gauge::default(),
-            store_reads: Counter::default(),
+            store_reads: Family::default(),
             store_lost: Counter::default(),
             lines_dropped: Counter::default(),
         };
@@ -101,6 +140,11 @@
             "Requests by route and outcome",
             all.requests.clone(),
         );
+        registry.register(
+            "forward_refusals",
+            "Requests refused before they had a route to go by",
+            all.refusals.clone(),
+        );
         registry.register_with_unit(
             "forward_latency",
             "Time from arrival to answer by route",
@@ -139,9 +183,19 @@
         );
         registry.register(
             "forward_replicas",
-            "Replicas in the directory",
+            "Replicas in the directory by state",
             all.replicas.clone(),
         );
+        registry.register(
+            "forward_budget_left",
+            "Second sends that the budget of a service still allows",
+            all.budget.clone(),
+        );
+        registry.register(
+            "forward_waiting",
+            "Parts of requests that wait for a replica",
+            all.waiting.clone(),
+        );
         registry.register(
             "forward_table",
             "Version of the route table in force",
@@ -154,7 +208,7 @@
         );
         registry.register(
             "forward_store_reads",
-            "Readings of the directory's store",
+            "Readings of the directory's store by kind and outcome",
             all.store_reads.clone(),
         );
         registry.register(
--- a/daemon/src/forward/forward_notes.rs
+++ b/daemon/src/forward/forward_notes.rs
@@ -123,6 +123,9 @@
             ForwardNote::ReplicaUnlisted { replica } => {
                 log_event!(log, events::REPLICA_UNLISTED, "replica" => %replica);
             }
+            ForwardNote::ReplicaBack { replica, service } => log_event!(
+                log, events::REPLICA_BACK, "replica" => %replica, "service" => %service,
+            ),
             ForwardNote::ReplicaAvoided {
                 replica,
                 service,
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -75,7 +75,7 @@
 pub use logs::{
     no_log,
     open_log,
-    open_stdout_log, //
+    StdoutLog, //
 };
 pub use peer_entry::PeerEntry;
 pub use reply_check::check_reply;
--- a/daemon/src/logs.rs
+++ b/daemon/src/logs.rs
@@ -2,7 +2,12 @@
 
 use std::{
     io,
-    sync::Mutex, //
+    sync::{
+        mpsc::channel,
+        Mutex, //
+    },
+    thread,
+    time::Duration, //
 };
 
 use slog::{
@@ -14,12 +19,19 @@
     PushFnValue,
     Record, //
 };
+use slog_async::{
+    Async,
+    AsyncGuard,
+    OverflowStrategy, //
+};
 
 use crate::{
     clock::DaemonClock,
     config::LogConfig, //
 };
 
+/// Longest wait at the end for lines that are not written yet: a reader that keeps up needs far less.
+const LAST_LINES: Duration = Duration::from_millis(200);
 /// Lines that may wait for standard output.
 const LINES_QUEUED: usize = 512;
 
@@ -40,14 +52,38 @@
 
 /// A logger of JSON lines to standard output that never blocks: a thread of its own writes them, and
 /// lines beyond its queue are dropped and counted in a line.
-pub fn open_stdout_log() -> Logger {
-    let drain = json_drain(io::stdout()).ignore_res();
-    let drain = slog_async::Async::new(drain)
-        .chan_size(LINES_QUEUED)
-        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
-        .build()
-        .ignore_res();
-    Logger::root(drain, o!())
+pub struct StdoutLog {
+    /// Takes the lines.
+    pub logger: Logger,
+    writer: AsyncGuard,
+}
+
+impl StdoutLog {
+    /// Starts the writer.
+    pub fn open() -> Self {
+        let drain = json_drain(io::stdout()).ignore_res();
+        let (drain, writer) = Async::new(drain)
+            .chan_size(LINES_QUEUED)
+            .overflow_strategy(OverflowStrategy::DropAndReport)
+            .build_with_guard();
+        Self {
+            logger: Logger::root(drain.ignore_res(), o!()),
+            writer,
+        }
+    }
+
+    /// Waits a moment for the lines that are still queued. A writer whose reader takes nothing ends
+    /// with the process.
+    pub fn close(self) {
+        let (done, waiting) = channel();
+        thread::spawn(move || {
+            drop(self.writer);
+            // Nobody waits any more.
+            let _ = done.send(());
+        });
+        // Either way nothing more can be done for the lines.
+        let _ = waiting.recv_timeout(LAST_LINES);
+    }
 }
 
 fn json_drain<W: io::Write>(out: W) -> slog_json::Json<W> {
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -9,13 +9,13 @@
     config::read_settings,
     daemon_flags,
     open_log,
-    open_stdout_log,
     read_boot,
     run_blocking,
     run_forward,
     DaemonError,
     DaemonFlags,
     RunControl,
+    StdoutLog,
     StopReport, //
 };
 
@@ -46,7 +46,10 @@
     if check {
         return Ok(StopReport::default());
     }
-    run_forward(boot, open_stdout_log())
+    let log = StdoutLog::open();
+    let report = run_forward(boot, log.logger.clone());
+    log.close();
+    report
 }
 
 fn serve_settings(flags: &DaemonFlags) -> Result<StopReport, DaemonError> {
--- a/daemon/tests/forward.rs
+++ b/daemon/tests/forward.rs
@@ -15,7 +15,8 @@
 use forward_bench::{
     get,
     wait_for,
-    ForwardBench, //
+    ForwardBench,
+    LogReader, //
 };
 use platform_standin::{
     call,
@@ -372,3 +373,52 @@
     assert!(failed("broken") && failed("ran_failed"), "{codes:?}");
     assert!(codes.iter().any(|(code, _)| code == "E7001"));
 }
+
+/// A pipe holds some 64 KiB, and the writer's queue 512 lines: refusals with long paths fill both.
+#[test]
+fn a_log_that_nobody_reads_holds_nothing_up() {
+    let bench = ForwardBench::start(&[RouteText::single("/one/", "s1")]);
+    let _replica = ReplicaStand::start(&bench.store, "s1", "i-1", "z1");
+    let mut daemon = bench.spawn_logging(1, "z1", LogReader::Nobody);
+    wait_for("ready", || daemon.is_ready());
+    let long = format!("/none/{}", "x".repeat(2_000));
+    let start = Instant::now();
+    let mut asked = 0;
+    while start.elapsed() < Duration::from_secs(10) {
+        let asking = Instant::now();
+        asked += 1;
+        assert_eq!(get(&daemon, &long, &format!("a{asked}")).status, 404);
+        assert_eq!(get(&daemon, "/one/x", &format!("b{asked}")).status, 200);
+        assert!(asking.elapsed() < Duration::from_secs(1), "request {asked}");
+        thread::sleep(Duration::from_millis(5));
+    }
+    // The pipe and the queue hold fewer lines, and the daemon may write 100 of these a second.
+    assert!(asked > 600, "{asked}");
+    daemon.signal("TERM");
+    assert_eq!(daemon.wait(), Some(0));
+}
+
+/// What the metrics say after a day's worth of events in small.
+#[test]
+fn metrics_tell_of_refusals_replicas_and_the_store() {
+    let mut bench = ForwardBench::start(&[RouteText::single("/one/", "s1")]);
+    let _replica = ReplicaStand::start(&bench.store, "s1", "i-1", "z1");
+    let daemon = bench.daemon("z1");
+    assert_eq!(get(&daemon, "/one/x", "id-1").status, 200);
+    assert_eq!(get(&daemon, "/none/x", "id-2").status, 404);
+    let expected = [
+        "pollentally_forward_refusals_total{reason=\"no_route\"} 1",
+        "pollentally_forward_replicas{state=\"usable\"} 1",
+        "pollentally_forward_replicas{state=\"avoided\"} 0",
+        "pollentally_forward_budget_left{service=\"s1\"} 0",
+        "pollentally_forward_waiting 0",
+        "pollentally_forward_store_reads_total{call=\"all\",result=\"answered\"} 1",
+        "pollentally_forward_requests_total{route=",
+    ];
+    wait_for("all figures", || {
+        let metrics = daemon.metrics();
+        expected.iter().all(|line| metrics.contains(line))
+    });
+    let log = daemon.log();
+    assert!(log.contains("E7012") && log.contains("id-2"), "{log}");
+}
--- a/daemon/tests/forward_bench/mod.rs
+++ b/daemon/tests/forward_bench/mod.rs
@@ -35,6 +35,15 @@
 
 static LAST_BENCH: AtomicU32 = AtomicU32::new(0);
 
+/// Who takes what a daemon logs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum LogReader {
+    /// A file.
+    File,
+    /// A pipe that is never read.
+    Nobody,
+}
+
 /// A daemon's process, killed when this is dropped.
 #[derive(Debug)]
 pub(crate) struct DaemonStand {
@@ -44,15 +53,20 @@
 }
 
 impl DaemonStand {
-    fn start(name: &str, ip: [u8; 4], zone: &str, store: SocketAddr, seeds: &[[u8; 4]]) -> Self {
+    fn start(boot: &str, ip: [u8; 4], log: LogReader) -> Self {
         let folder = TempDir::new().unwrap();
         let path = folder.path().join("boot.json");
-        std::fs::write(&path, boot_text(name, ip, zone, store, seeds)).unwrap();
-        let log = std::fs::File::create(folder.path().join("log")).unwrap();
+        std::fs::write(&path, boot).unwrap();
+        let stdout = match log {
+            LogReader::File => {
+                Stdio::from(std::fs::File::create(folder.path().join("log")).unwrap())
+            }
+            LogReader::Nobody => Stdio::piped(),
+        };
         let child = Command::new(env!("CARGO_BIN_EXE_pollentallyd"))
             .arg("--platform")
             .arg(&path)
-            .stdout(Stdio::from(log))
+            .stdout(stdout)
             .spawn()
             .unwrap();
         Self { ip, folder, child }
@@ -150,11 +164,17 @@
 
     /// Starts the daemon with a number, for the first time or again.
     pub(crate) fn spawn_as(&self, number: u8, zone: &str) -> DaemonStand {
+        self.spawn_logging(number, zone, LogReader::File)
+    }
+
+    /// The same with another reader of its log.
+    pub(crate) fn spawn_logging(&self, number: u8, zone: &str, log: LogReader) -> DaemonStand {
         let [high, low] = self.net;
         let ip = [127, high, low, number];
         let seeds = [[127, high, low, 1], [127, high, low, 2]];
         let name = format!("d{number}");
-        DaemonStand::start(&name, ip, zone, self.store_address, &seeds)
+        let boot = boot_text(&name, ip, zone, self.store_address, &seeds);
+        DaemonStand::start(&boot, ip, log)
     }
 
     /// Starts a daemon and waits until it is ready.
--- a/policy/src/forward/forward_engine.rs
+++ b/policy/src/forward/forward_engine.rs
@@ -32,6 +32,7 @@
     ForwardEvent,
     ForwardNote,
     ForwardSettings,
+    ForwardStatus,
     RefusalReason,
     ReplicaFleet,
     ReplicaKey,
@@ -138,10 +139,30 @@
         self.runs.len()
     }
 
-    /// Replicas in the directory.
-    pub fn replicas(&self) -> usize {
-        let listed = self.fleet.records.values().filter(|record| record.listed);
-        listed.count()
+    /// Counts for metrics.
+    pub fn status(&self, now: TimePoint) -> ForwardStatus {
+        let (mut usable, mut draining, mut avoided) = (0, 0, 0);
+        for record in self.fleet.records.values().filter(|record| record.listed) {
+            if record.entry.draining {
+                draining += 1;
+            } else if record.is_usable(now) {
+                usable += 1;
+            } else {
+                avoided += 1;
+            }
+        }
+        let services = self.fleet.services.iter();
+        ForwardStatus {
+            replicas: [
+                ("usable", usable),
+                ("draining", draining),
+                ("avoided", avoided),
+            ],
+            budgets: services
+                .map(|state| (state.name.clone(), state.budget.left() as u32))
+                .collect(),
+            waiting: self.runs.values().map(ForwardRun::waiting).sum(),
+        }
     }
 
     /// The nearest replica of each service of the table in force, to which a connection is worth having
--- a/policy/src/forward/forward_note.rs
+++ b/policy/src/forward/forward_note.rs
@@ -53,6 +53,13 @@
         /// The replica.
         replica: ReplicaName,
     },
+    /// A replica that was avoided has replied.
+    ReplicaBack {
+        /// The replica.
+        replica: ReplicaName,
+        /// Its service.
+        service: ServiceName,
+    },
     /// A replica is avoided for a while.
     ReplicaAvoided {
         /// The replica.
--- a/policy/src/forward/forward_run.rs
+++ b/policy/src/forward/forward_run.rs
@@ -159,6 +159,12 @@
         self.parts.iter().filter(open).count()
     }
 
+    /// Parts that wait for a replica.
+    pub(super) fn waiting(&self) -> usize {
+        let waiting = |part: &&ForwardPart| part.waiting.is_some();
+        self.parts.iter().filter(waiting).count()
+    }
+
     /// Whether a replica may have run any of it.
     pub(super) fn may_have_run(&self) -> bool {
         let ran = |part: &ForwardPart| part.ran > 0 || !part.out.is_empty();
--- a/policy/src/forward/mod.rs
+++ b/policy/src/forward/mod.rs
@@ -13,6 +13,7 @@
 mod forward_note;
 mod forward_run;
 mod forward_settings;
+mod forward_status;
 mod latency_sketch;
 mod outcomes;
 mod record_merge;
@@ -43,6 +44,7 @@
 };
 pub use forward_note::ForwardNote;
 pub use forward_settings::ForwardSettings;
+pub use forward_status::ForwardStatus;
 pub use latency_sketch::LatencySketch;
 pub use record_merge::{
     merge_records,
--- a/policy/src/forward/outcomes.rs
+++ b/policy/src/forward/outcomes.rs
@@ -37,10 +37,16 @@
         } else if reply.not_run || reply.status >= 500 {
             self.fleet.fail(now, track.replica);
         } else {
-            let own = self.fleet.replied(now, track.replica, age);
+            let (own, back) = self.fleet.replied(now, track.replica, age);
             if let Some(state) = self.routes.get_mut(&track.route) {
                 state.latency.record(own);
             }
+            if let Some(record) = self.fleet.records.get(&track.replica).filter(|_| back) {
+                actions.push(ForwardAction::Note(ForwardNote::ReplicaBack {
+                    replica: record.entry.name.clone(),
+                    service: record.entry.service.clone(),
+                }));
+            }
         }
         self.forget(track.replica, actions);
         let Some(mut run) = self.runs.remove(&track.query) else {
--- a/policy/src/forward/replica_fleet.rs
+++ b/policy/src/forward/replica_fleet.rs
@@ -264,24 +264,25 @@
         }
     }
 
-    /// Records a reply after `latency` and gives the latency without the link's part.
+    /// Records a reply after `latency`. Gives the latency without the link's part, and whether the
+    /// replica had been avoided.
     pub(super) fn replied(
         &mut self,
         now: TimePoint,
         key: ReplicaKey,
         latency: Duration,
-    ) -> Duration {
+    ) -> (Duration, bool) {
         let Some(record) = self.records.get_mut(&key) else {
-            return latency;
+            return (latency, false);
         };
-        record.replied(now, latency);
+        let back = record.replied(now, latency);
         let link = Duration::from_secs_f64(record.link_ms / 1000.0);
         let own = latency.saturating_sub(link);
         let service = record.service;
         let state = &mut self.services[service];
         state.latency.record(own);
         state.line.count_reply(now);
-        own
+        (own, back)
     }
 
     /// Records a failed attempt.
--- a/policy/src/forward/replica_record.rs
+++ b/policy/src/forward/replica_record.rs
@@ -105,13 +105,15 @@
         self.out.retain(|(known, _)| *known != attempt);
     }
 
-    /// Records a reply after `latency`.
-    pub(super) fn replied(&mut self, now: TimePoint, latency: Duration) {
+    /// Records a reply after `latency`; true where the replica had been avoided.
+    pub(super) fn replied(&mut self, now: TimePoint, latency: Duration) -> bool {
         self.heard = now;
+        let back = self.refusals > 0;
         self.refusals = 0;
         self.avoid_until = TimePoint(0);
         self.take_latency(now, latency);
         self.failures = (now, self.failure_rate(now) * (1.0 - FAILURE_WEIGHT));
+        back
     }
 
     /// Records an attempt given up after `latency` without a reply: a lower bound.
