--- a/cli/src/cmd/load.rs
+++ b/cli/src/cmd/load.rs
@@ -47,6 +47,8 @@
 const NOTE: &str = "Requests leave when they are due, however late earlier answers are, and \
     latency counts from then.";
 
+/// Reason of a refusal for want of an idempotency key.
+const KEY_MISSING: &str = "key_missing";
 /// Most requests in flight that may be asked for.
 const IN_FLIGHT_MAX: usize = 16_384;
 /// Highest rate that may be asked for, in requests a second.
@@ -243,10 +245,7 @@
     }
     print_table(&outcomes)?;
     print_line("")?;
-    let mut latency = table(&["p50", "p90", "p99", "p99.9", "max"]);
-    let value = |name| millis(report.latency_us.get(name).copied().unwrap_or(0));
-    latency.add_row(["p50", "p90", "p99", "p99.9", "max"].map(value));
-    print_table(&latency)?;
+    print_latency(report)?;
     print_line("")?;
     print_line(&format!(
         "{:.1} answers/s of {:.1} due, coverage {}, {} units charged",
@@ -256,3 +255,27 @@
         report.charged
     ))
 }
+
+fn print_latency(report: &LoadReport) -> Result<(), CliError> {
+    if report.latency_us.is_empty() {
+        print_line("no latencies: nothing was answered")?;
+        let keyless = report
+            .outcomes
+            .keys()
+            .any(|outcome| outcome.contains(KEY_MISSING));
+        if keyless {
+            print_line("requests of this group run once and need keys: give --once")?;
+        }
+        return Ok(());
+    }
+    let mut latency = table(&["p50", "p90", "p99", "p99.9", "max"]);
+    let value = |name| {
+        report
+            .latency_us
+            .get(name)
+            .copied()
+            .map_or("-".into(), millis)
+    };
+    latency.add_row(["p50", "p90", "p99", "p99.9", "max"].map(value));
+    print_table(&latency)
+}
--- a/cli/src/load_report.rs
+++ b/cli/src/load_report.rs
@@ -62,7 +62,7 @@
     pub(crate) coverage_ppm: u32,
     /// Units charged.
     pub(crate) charged: u64,
-    /// Latency of the answers by quantile, in microseconds.
+    /// Latency of the answers by quantile, in microseconds; empty where nothing was answered.
     pub(crate) latency_us: BTreeMap<&'static str, u64>,
 }
 
@@ -118,7 +118,10 @@
             answers_per_second: self.answers as f64 / seconds,
             coverage_ppm: u32::try_from(mean).unwrap_or(u32::MAX),
             charged: self.charged,
-            latency_us: QUANTILES.into_iter().map(quantile).collect(),
+            latency_us: match self.answers {
+                0 => BTreeMap::new(),
+                _ => QUANTILES.into_iter().map(quantile).collect(),
+            },
             outcomes: self.outcomes,
         }
     }
--- a/cli/tests/load.rs
+++ b/cli/tests/load.rs
@@ -116,4 +116,50 @@
         "{out}"
     );
     assert_eq!(report["answers_per_second"], 0.0);
+    assert_eq!(report["latency_us"], serde_json::json!({}));
+}
+
+#[test]
+fn latencies_of_nothing_are_left_out() {
+    let dir = WorkDir::new();
+    let args = [
+        "load",
+        "--daemon",
+        "127.0.0.1:1",
+        "--rate",
+        "100",
+        "--seconds",
+        "0.1",
+        "search",
+    ];
+    let out = dir.ok(&args);
+    assert!(out.contains("no latencies: nothing was answered"), "{out}");
+    assert!(!out.contains("0.00 ms"), "{out}");
+}
+
+#[test]
+fn a_group_that_runs_once_asks_for_keys() {
+    let live = LiveDeployment::new(1);
+    live.put_in_force();
+    let daemon = live.daemon("d1");
+    live.wait_ready(&daemon);
+    let address = daemon.caller.to_string();
+    let mut args = vec![
+        "load",
+        "--daemon",
+        &address,
+        "--rate",
+        "50",
+        "--seconds",
+        "0.5",
+    ];
+    args.extend(["--warm-up", "0", "orders"]);
+    let out = live.dir.ok(&args);
+    assert!(
+        out.contains("key_missing") && out.contains("give --once"),
+        "{out}"
+    );
+    args.push("--once");
+    let out = live.dir.ok(&args);
+    assert!(out.contains("complete") && out.contains("p99.9"), "{out}");
 }
--- a/standin/examples/playground.rs
+++ b/standin/examples/playground.rs
@@ -1,16 +1,21 @@
 //! Store, VM list and upstreams of a bundle, for trying the daemon and the operators' command.
 //!
-//! `cargo run --example playground -- BUNDLE SETTINGS` starts what the bundle names, writes the
-//! settings of a daemon in its first data centre to a file, and runs until standard input ends.
+//! `cargo run --example playground -- BUNDLE SETTINGS [SECONDS]` starts what the bundle names, writes
+//! the settings of a daemon in its first data centre to a file, and runs until standard input ends, or
+//! for the seconds given.
 
 use std::{
-    env,
-    fs,
+    env, fs,
     io::{
         self,
         Read, //
     },
-    process::ExitCode, //
+    process::ExitCode,
+    thread::sleep,
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use schema::{
@@ -28,10 +33,15 @@
 };
 use thiserror::Error;
 
+/// An input that ends within this time was closed from the start: nobody types that fast.
+const CLOSED_WITHIN: Duration = Duration::from_millis(200);
+
 #[derive(Debug, Error)]
 enum PlaygroundError {
-    #[error("usage: playground BUNDLE SETTINGS")]
+    #[error("usage: playground BUNDLE SETTINGS [SECONDS]")]
     Usage,
+    #[error("standard input was closed from the start; run it from a terminal or give SECONDS")]
+    NoInput,
     #[error("{0}")]
     Io(#[from] io::Error),
     #[error("{0}")]
@@ -55,6 +65,10 @@
     let (Some(bundle), Some(settings)) = (args.next(), args.next()) else {
         return Err(PlaygroundError::Usage);
     };
+    let seconds: Option<u64> = match args.next() {
+        Some(text) => Some(text.parse().map_err(|_| PlaygroundError::Usage)?),
+        None => None,
+    };
     let text = fs::read_to_string(&bundle)?;
     let body: BundleBody = parse_yaml(&bundle, &text)?;
     let spec = DeploymentSpec::from_body(&BundleBody {
@@ -65,11 +79,23 @@
     let fleet = FleetServer::start(&spec, FleetSettings::default())?;
     fs::write(&settings, settings_text(&spec, &store, &fleet))?;
     println!(
-        "{}: {} upstreams run; settings are in {settings}; end of input stops them",
+        "{}: {} upstreams run; settings are in {settings}; {} stops them",
         spec.deployment,
-        fleet.upstreams().count()
+        fleet.upstreams().count(),
+        match seconds {
+            Some(seconds) => format!("the end of {seconds} s"),
+            None => "end of input".into(),
+        }
     );
-    io::stdin().read_to_end(&mut Vec::new())?;
+    if let Some(seconds) = seconds {
+        sleep(Duration::from_secs(seconds));
+        return Ok(());
+    }
+    let start = Instant::now();
+    let read = io::stdin().read_to_end(&mut Vec::new())?;
+    if read == 0 && start.elapsed() < CLOSED_WITHIN {
+        return Err(PlaygroundError::NoInput);
+    }
     Ok(())
 }
 
