--- a/cli/src/cli_error.rs
+++ b/cli/src/cli_error.rs
@@ -6,6 +6,7 @@
     path::PathBuf, //
 };
 
+use daemon::DaemonError;
 use policy::bundle::BundleRefusal;
 use schema::{
     BundleVersion,
@@ -40,6 +41,9 @@
     /// A bundle or settings with a field that is not right.
     #[error(transparent)]
     Schema(#[from] SchemaError),
+    /// A daemon's settings that it can't start with.
+    #[error(transparent)]
+    DaemonSettings(#[from] DaemonError),
     /// A file that holds no private key.
     #[error("{}: not a private key, expected 64 characters of hex", path.display())]
     BadKey { path: PathBuf },
@@ -114,6 +118,8 @@
     pub(crate) fn code(&self) -> u8 {
         match self {
             Self::File { .. } | Self::Output(_) | Self::Json(_) => FAILED,
+            Self::DaemonSettings(DaemonError::SettingsUnread { .. }) => FAILED,
+            Self::DaemonSettings(_) => BAD_INPUT,
             Self::FileExists { .. } | Self::Schema(_) | Self::BadKey { .. } => BAD_INPUT,
             Self::NotSigned { .. } | Self::BadOption { .. } | Self::StoreMissing => BAD_INPUT,
             Self::Conflict { .. } | Self::Unclear { .. } => CONFLICT,
--- a/cli/src/cmd/check.rs
+++ b/cli/src/cmd/check.rs
@@ -1,6 +1,9 @@
 //! `pollentally check`.
 
-use std::path::PathBuf;
+use std::path::{
+    Path,
+    PathBuf, //
+};
 
 use bpaf::{
     construct,
@@ -9,6 +12,10 @@
     OptionParser,
     Parser, //
 };
+use daemon::{
+    config::read_settings,
+    read_boot, //
+};
 use schema::{
     bundle::BundleBody,
     DeploymentSpec,
@@ -31,20 +38,42 @@
     },
 };
 
-const HELP: &str = "Check a bundle as a daemon would before it takes effect";
+const HELP: &str = "Check a bundle, or a daemon's settings, as a daemon would before it uses them";
 
 /// Arguments of `check`.
 #[derive(Clone, Debug)]
 pub(crate) struct CheckArgs {
     json: bool,
-    bundle: PathBuf,
+    subject: CheckSubject,
+}
+
+/// What is checked.
+#[derive(Clone, Debug)]
+enum CheckSubject {
+    /// A bundle in YAML.
+    Bundle(PathBuf),
+    /// Settings of a daemon in YAML.
+    Settings(PathBuf),
+    /// Settings of a daemon as the platform writes them.
+    Platform(PathBuf),
 }
 
 /// The parser of `check`.
 pub(crate) fn parser() -> OptionParser<CheckArgs> {
     let json = long("json").help("Print JSON").switch();
-    let bundle = positional("BUNDLE").help("Bundle in YAML");
-    construct!(CheckArgs { json, bundle })
+    let settings = long("settings")
+        .help("Check a daemon's settings in YAML, as pollentallyd --settings takes them")
+        .argument("FILE")
+        .map(CheckSubject::Settings);
+    let platform = long("platform")
+        .help("Check a daemon's settings as the platform writes them, see pollentallyd --platform")
+        .argument("FILE")
+        .map(CheckSubject::Platform);
+    let bundle = positional("BUNDLE")
+        .help("Bundle in YAML")
+        .map(CheckSubject::Bundle);
+    let subject = construct!([settings, platform, bundle]);
+    construct!(CheckArgs { json, subject })
         .to_options()
         .descr(HELP)
         .footer(EXIT_CODES)
@@ -71,9 +100,20 @@
     groups: Vec<GroupReport>,
 }
 
-/// Checks the bundle and prints what it declares.
+/// Checks the file and prints what it declares.
 pub(crate) fn run(args: &CheckArgs) -> Result<(), CliError> {
-    let body = read_checked(&args.bundle)?;
+    let path = match &args.subject {
+        CheckSubject::Bundle(path) => path,
+        CheckSubject::Settings(path) => {
+            let config = read_settings(path, |_| ())?;
+            return print_daemon(args.json, path, config.name.as_str(), config.zone.as_str());
+        }
+        CheckSubject::Platform(path) => {
+            let boot = read_boot(path)?;
+            return print_daemon(args.json, path, boot.vm.as_str(), boot.zone.as_str());
+        }
+    };
+    let body = read_checked(path)?;
     let report = report_of(&body)?;
     if args.json {
         return print_json(&report);
@@ -81,6 +121,22 @@
     print_report(&report)
 }
 
+#[derive(Serialize)]
+struct DaemonReport<'a> {
+    daemon: &'a str,
+    zone: &'a str,
+}
+
+fn print_daemon(json: bool, path: &Path, daemon: &str, zone: &str) -> Result<(), CliError> {
+    if json {
+        return print_json(&DaemonReport { daemon, zone });
+    }
+    print_line(&format!(
+        "{}: ok; daemon {daemon} in data centre {zone}",
+        path.display()
+    ))
+}
+
 fn report_of(body: &BundleBody) -> Result<CheckReport, CliError> {
     let numbered = BundleBody {
         version: body.version.max(1),
--- a/cli/tests/check.rs
+++ b/cli/tests/check.rs
@@ -4,6 +4,7 @@
 
 mod workdir;
 
+use platform_standin::boot_text;
 use workdir::{
     bundle_yaml,
     project_file,
@@ -59,3 +60,47 @@
     dir.write("bundle.yaml", &bundle_yaml(&[("ann", KEY)], 1, 2));
     insta::assert_snapshot!(dir.ok(&["check", "--json", "bundle.yaml"]));
 }
+
+#[test]
+fn settings_of_daemons() {
+    let dir = WorkDir::new();
+    let path = project_file("deploy/sample-settings.yaml");
+    let out = dir.ok(&["check", "--settings", &path.display().to_string()]);
+    assert!(
+        out.ends_with("ok; daemon entry-1 in data centre kochi\n"),
+        "{out}"
+    );
+    let good = std::fs::read_to_string(&path).unwrap();
+    dir.write("bad.yaml", &good.replacen("zone: kochi", "zone: [1]", 1));
+    let ran = dir.run(&["check", "--settings", "bad.yaml"]);
+    assert_eq!((ran.code, ran.out.as_str()), (2, ""));
+    assert!(
+        ran.err.contains("bad.yaml") && ran.err.contains("zone"),
+        "{}",
+        ran.err
+    );
+    let ran = dir.run(&["check", "--settings", "none.yaml"]);
+    assert_eq!(ran.code, 1, "{ran:?}");
+}
+
+#[test]
+fn settings_of_the_platform() {
+    let dir = WorkDir::new();
+    let store = "127.0.0.1:9".parse().unwrap();
+    let good = boot_text("d1", [127, 0, 0, 1], "z1", store, &[]);
+    dir.write("boot.json", &good);
+    let out = dir.ok(&["check", "--platform", "boot.json"]);
+    assert_eq!(out, "boot.json: ok; daemon d1 in data centre z1\n");
+    let out = dir.ok(&["check", "--json", "--platform", "boot.json"]);
+    assert!(out.contains("\"zone\": \"z1\""), "{out}");
+    let bad = good.replacen("127.0.0.1:9", "nowhere", 1);
+    assert_ne!(bad, good);
+    dir.write("boot.json", &bad);
+    let ran = dir.run(&["check", "--platform", "boot.json"]);
+    assert_eq!((ran.code, ran.out.as_str()), (2, ""));
+    assert!(
+        ran.err.contains("boot.json") && ran.err.contains("address"),
+        "{}",
+        ran.err
+    );
+}
