Decode the store's changes into one type, listen to signals in one place

Read as a newcomer: the platform's DirectoryChange and the policy's DirectoryEvent were the same enum but for items that can't be read, with a loop that copied one into the other; two files opened the same signals; a test spelled the platform's headers out. DirectoryEvent lives in schema now, a page holds results; SignalSet serves both ways to run; the stand-in sends the request. A hang-up no longer ends a daemon on its own interface: its settings are read at the start only.

No other change of behaviour; tests as before.

--- a/daemon/src/forward/forward_feed.rs
+++ b/daemon/src/forward/forward_feed.rs
@@ -6,16 +6,16 @@
 };
 
 use policy::{
-    directory::{
-        DirectoryEvent,
-        FeedStep, //
-    },
+    directory::FeedStep,
     forward::{
         ForwardEvent,
         RouteIndex, //
     },
 };
-use schema::TimePoint;
+use schema::{
+    DirectoryEvent,
+    TimePoint, //
+};
 use tokio::task::spawn_local;
 
 use super::{
--- a/daemon/src/forward/run_forward.rs
+++ b/daemon/src/forward/run_forward.rs
@@ -45,11 +45,6 @@
 use slog::Logger;
 use tokio::{
     runtime,
-    signal::unix::{
-        signal,
-        Signal,
-        SignalKind, //
-    },
     sync::{
         mpsc::{
             unbounded_channel,
@@ -102,6 +97,10 @@
         bind,
         StopReport, //
     },
+    signals::{
+        SignalRequest,
+        SignalSet, //
+    },
     store::HttpCall, //
 };
 
@@ -211,7 +210,15 @@
         address: boot.peer,
         zone: boot.zone.clone(),
     };
-    spawn_local(pass_signals(open_signals()?, events.clone()));
+    let signals = SignalSet::open()?;
+    let signalled = events.clone();
+    spawn_local(signals.pass(move |request| {
+        let event = match request {
+            SignalRequest::Stop => DeskEvent::StopAsked,
+            SignalRequest::Reload => DeskEvent::SettingsChanged,
+        };
+        signalled.send(event).is_ok()
+    }));
     log_event!(
         log, events::STARTED,
         "name" => %boot.vm, "caller" => %boot.callers, "admin" => %boot.ready,
@@ -313,33 +320,3 @@
         .route(METRICS_PATH, get(metrics))
         .with_state(registry)
 }
-
-/// The signals that end the process, and the one that tells of changed settings.
-struct SignalSet {
-    terminate: Signal,
-    interrupt: Signal,
-    hangup: Signal,
-}
-
-fn open_signals() -> Result<SignalSet, DaemonError> {
-    let open = |kind| signal(kind).map_err(DaemonError::RuntimeFailed);
-    Ok(SignalSet {
-        terminate: open(SignalKind::terminate())?,
-        interrupt: open(SignalKind::interrupt())?,
-        hangup: open(SignalKind::hangup())?,
-    })
-}
-
-async fn pass_signals(mut signals: SignalSet, events: UnboundedSender<DeskEvent>) {
-    loop {
-        let event = tokio::select! {
-            Some(()) = signals.terminate.recv() => DeskEvent::StopAsked,
-            Some(()) = signals.interrupt.recv() => DeskEvent::StopAsked,
-            Some(()) = signals.hangup.recv() => DeskEvent::SettingsChanged,
-            else => return,
-        };
-        if events.send(event).is_err() {
-            return;
-        }
-    }
-}
--- a/daemon/src/forward/store_reader.rs
+++ b/daemon/src/forward/store_reader.rs
@@ -11,15 +11,11 @@
     read_changes,
     read_config,
     read_page,
-    DirectoryChange,
     DirectoryPage,
     PlatformError,
     StoreCall, //
 };
-use policy::directory::{
-    DirectoryEvent,
-    FeedPage, //
-};
+use policy::directory::FeedPage;
 use thiserror::Error;
 
 use crate::store::{
@@ -140,16 +136,10 @@
 impl StoreReading {
     fn take(&mut self, page: DirectoryPage) {
         for change in page.changes {
-            let event = match change {
-                DirectoryChange::Table(table) => DirectoryEvent::Table(table),
-                DirectoryChange::Replica(entry) => DirectoryEvent::Seen(entry),
-                DirectoryChange::ReplicaGone(name) => DirectoryEvent::Gone(name),
-                DirectoryChange::Unread(error) => {
-                    self.problems.push(error);
-                    continue;
-                }
-            };
-            self.page.events.push(event);
+            match change {
+                Ok(event) => self.page.events.push(event),
+                Err(error) => self.problems.push(error),
+            }
         }
     }
 }
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -41,6 +41,7 @@
 mod run_control;
 mod run_message;
 mod running_call;
+mod signals;
 mod span_desk;
 mod status_body;
 pub mod store;
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -16,11 +16,6 @@
 use tokio::{
     net::TcpListener,
     runtime,
-    signal::unix::{
-        signal,
-        Signal,
-        SignalKind, //
-    },
     sync::{
         mpsc::{
             unbounded_channel,
@@ -73,6 +68,10 @@
         PeerSocket, //
     },
     run_control::RunControl,
+    signals::{
+        SignalRequest,
+        SignalSet, //
+    },
     span_desk::SpanDesk,
     store::{
         StoreClient,
@@ -229,11 +228,13 @@
     };
     let mut core = DaemonCore::new(config, tools);
     if control.signals {
-        tasks.spawn_local(pass_signals(
-            signal(SignalKind::terminate()).map_err(DaemonError::RuntimeFailed)?,
-            signal(SignalKind::interrupt()).map_err(DaemonError::RuntimeFailed)?,
-            events.clone(),
-        ));
+        let signals = SignalSet::open()?;
+        let signalled = events.clone();
+        tasks.spawn_local(signals.pass(move |request| match request {
+            SignalRequest::Stop => signalled.send(LoopEvent::StopAsked).is_ok(),
+            // Settings are read at the start only.
+            SignalRequest::Reload => true,
+        }));
     }
     take_control(control, bound, &events, &mut tasks);
     turn(&mut core, inbox, inputs).await;
@@ -315,22 +316,6 @@
     });
 }
 
-async fn pass_signals(
-    mut terminate: Signal,
-    mut interrupt: Signal,
-    events: UnboundedSender<LoopEvent>,
-) {
-    loop {
-        let signal = tokio::select! {
-            signal = terminate.recv() => signal,
-            signal = interrupt.recv() => signal,
-        };
-        if signal.is_none() || events.send(LoopEvent::StopAsked).is_err() {
-            return;
-        }
-    }
-}
-
 /// The loop.
 async fn turn(
     core: &mut DaemonCore,
--- a/daemon/src/store/mod.rs
+++ b/daemon/src/store/mod.rs
@@ -1,4 +1,4 @@
-//! Clients of the platform: its store and its list of VMs.
+//! Clients of the store and the VM list that the settings name.
 
 mod http_call;
 mod store_client;
--- a/daemon/tests/forward.rs
+++ b/daemon/tests/forward.rs
@@ -20,6 +20,7 @@
 };
 use platform_standin::{
     call,
+    send,
     ReplicaFault,
     ReplicaStand,
     RouteText,
@@ -295,10 +296,8 @@
     let replica = ReplicaStand::start(&bench.store, "s1", "i-1", "z1");
     replica.fail(ReplicaFault::Slow(Duration::from_secs(30)));
     let daemon = bench.daemon("z1");
-    let mut stream = std::net::TcpStream::connect(daemon.callers()).unwrap();
-    let head = "GET /one/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: i\r\n\
-                Deadline-Remaining: 20000\r\n\r\n";
-    std::io::Write::write_all(&mut stream, head.as_bytes()).unwrap();
+    let patience = Duration::from_secs(20);
+    let stream = send(daemon.callers(), "GET /one/x", "i", patience, b"").unwrap();
     wait_for("it runs", || replica.runs() == 1);
     drop(stream);
     let left = Instant::now();
--- a/policy/src/directory/directory_book.rs
+++ b/policy/src/directory/directory_book.rs
@@ -14,14 +14,13 @@
 
 use schema::{
     BundleVersion,
+    DirectoryEvent,
     ReplicaEntry,
     ReplicaName,
     RouteTable,
     TimePoint, //
 };
 
-use super::DirectoryEvent;
-
 /// Time after the store's return in which lapsed registrations are renewed: two seconds, with
 /// some for the watch.
 const RETURN_PERIOD: Duration = Duration::from_millis(2_300);
--- a/policy/src/directory/directory_feed.rs
+++ b/policy/src/directory/directory_feed.rs
@@ -12,6 +12,7 @@
 use schema::{
     BundleVersion,
     DaemonName,
+    DirectoryEvent,
     RegionName,
     TimePoint,
     ZoneName, //
@@ -24,7 +25,6 @@
         FeedSource, //
     },
     DirectoryBook,
-    DirectoryEvent,
     FeedPage,
     FeedPeer, //
 };
--- a/policy/src/directory/feed_log.rs
+++ b/policy/src/directory/feed_log.rs
@@ -6,15 +6,13 @@
 };
 
 use schema::{
+    DirectoryEvent,
     ReplicaEntry,
     ReplicaName,
     RouteTable, //
 };
 
-use super::{
-    DirectoryEvent,
-    FeedPage, //
-};
+use super::FeedPage;
 
 /// Changes that are kept. A daemon that is further behind gets the whole directory.
 const CHANGES_MAX: usize = 512;
--- a/policy/src/directory/feed_page.rs
+++ b/policy/src/directory/feed_page.rs
@@ -1,12 +1,11 @@
 //! What daemons tell each other of the directory.
 
+use schema::DirectoryEvent;
 use serde::{
     Deserialize,
     Serialize, //
 };
 
-use super::DirectoryEvent;
-
 /// The changes of the directory up to a revision.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct FeedPage {
--- a/policy/tests/directory.rs
+++ b/policy/tests/directory.rs
@@ -12,7 +12,6 @@
 
 use policy::directory::{
     DirectoryBook,
-    DirectoryEvent,
     DirectoryFeed,
     FeedAnswer,
     FeedPage,
@@ -21,6 +20,7 @@
 };
 use schema::{
     BundleVersion,
+    DirectoryEvent,
     ReplicaEntry,
     RouteTable,
     TimePoint, //
--- a/policy/src/directory/directory_event.rs
+++ b/schema/src/directory_event.rs
@@ -1,19 +1,20 @@
-//! What follows from a change of the directory.
+//! Changes of the directory.
 
-use schema::{
-    ReplicaEntry,
-    ReplicaName,
-    RouteTable, //
-};
 use serde::{
     Deserialize,
     Serialize, //
 };
 
-/// A change that takes effect.
+use crate::{
+    ReplicaEntry,
+    ReplicaName,
+    RouteTable, //
+};
+
+/// What the store tells of the configuration and the replicas, or what takes effect of it.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum DirectoryEvent {
-    /// A newer table is in force.
+    /// A route table.
     Table(Box<RouteTable>),
     /// A replica is registered, anew or with other fields.
     Seen(ReplicaEntry),
--- a/schema/src/lib.rs
+++ b/schema/src/lib.rs
@@ -36,6 +36,7 @@
 
 mod bundle_digest;
 mod deployment_spec;
+mod directory_event;
 mod group_policy;
 mod group_spec;
 mod key_span;
@@ -53,6 +54,7 @@
 
 pub use bundle_digest::BundleDigest;
 pub use deployment_spec::DeploymentSpec;
+pub use directory_event::DirectoryEvent;
 pub use group_policy::GroupPolicy;
 pub use group_spec::{
     GroupMode,
