Count the budget's first window from the start, not from the first need

A daemon has no share of the slack until it has run for a whole window, since it does not know what it spent before. That window began with the first second send it wanted to make, not with its start, so that all daemons were without slack for ten seconds of traffic.

Change: it begins with the first registration that is read.

Test: the_first_request_after_a_quiet_window_is_hedged, which failed before.

--- a/policy/src/forward/replica_fleet.rs
+++ b/policy/src/forward/replica_fleet.rs
@@ -155,6 +155,7 @@
     /// Takes an entry of the directory over. Gives the record of an earlier start under the same
     /// name, which is gone; true where the replica is new or now leaves.
     pub fn see(&mut self, now: TimePoint, entry: ReplicaEntry) -> (Option<ReplicaKey>, bool) {
+        self.started.get_or_insert(now);
         let known = self.names.get(&entry.name).copied();
         if let Some(record) = known.and_then(|key| self.records.get_mut(&key)) {
             let old = &record.entry;
--- a/policy/tests/forward_basics.rs
+++ b/policy/tests/forward_basics.rs
@@ -18,7 +18,8 @@
 };
 use schema::{
     RouteSpec,
-    RouteTarget, //
+    RouteTarget,
+    TimePoint, //
 };
 
 fn single() -> RouteSpec {
@@ -325,3 +326,20 @@
         assert!(!refused, "{status}: it ran");
     }
 }
+
+/// A daemon that has run for a whole window without a request knows that it has spent nothing.
+#[test]
+fn the_first_request_after_a_quiet_window_is_hedged() {
+    for (idle, hedged) in [(ms(10_500), true), (ms(1_000), false)] {
+        let mut world = ForwardWorld::new(&["a", "b"], vec![single()], 31);
+        world.add("s0", "near", near());
+        world.add("s0", "far", far());
+        world.run(idle);
+        world.models.get_mut("near").unwrap().dark = Some((START, TimePoint::NEVER));
+        let query = world.ask(0, 0, ms(2_000));
+        world.run(ms(2_500));
+        let extras = world.sends.iter().filter(|send| send.extra).count();
+        assert_eq!(extras > 0, hedged, "after {idle:?}: {extras}");
+        assert_eq!(world.end_of(query).is_success(), hedged, "after {idle:?}");
+    }
+}
