--- a/daemon/src/forward/call_desk.rs
+++ b/daemon/src/forward/call_desk.rs
@@ -26,7 +26,7 @@
 use tokio::sync::oneshot;
 
 use super::{
-    desk_event::CallerReply,
+    caller_reply::CallerReply,
     replica_exchange::WholeReply, //
 };
 
--- a/daemon/src/forward/desk_event.rs
+++ b/daemon/src/forward/desk_event.rs
@@ -1,13 +1,5 @@
 //! What the forwarding loop is told.
 
-use std::time::Duration;
-
-use bytes::Bytes;
-use http::{
-    request,
-    HeaderMap,
-    StatusCode, //
-};
 use policy::{
     directory::FeedPage,
     forward::ReplicaKey, //
@@ -18,9 +10,9 @@
     DaemonName,
     QueryId, //
 };
-use tokio::sync::oneshot;
 
 use super::{
+    arrived_request::ArrivedRequest,
     replica_exchange::ExchangeEnd,
     store_reader::{
         ReadError,
@@ -29,32 +21,6 @@
 };
 use crate::upstream_link::UpstreamLink;
 
-/// A caller's request on its way to the loop.
-#[derive(Debug)]
-pub(super) struct ArrivedRequest {
-    /// Number of the request.
-    pub(super) query: QueryId,
-    /// Its head.
-    pub(super) head: request::Parts,
-    /// Its body.
-    pub(super) body: Bytes,
-    /// Time since its head was read.
-    pub(super) age: Duration,
-    /// Where the answer goes.
-    pub(super) answer: oneshot::Sender<CallerReply>,
-}
-
-/// An answer on its way to the caller.
-#[derive(Clone, Debug, Default)]
-pub(super) struct CallerReply {
-    /// HTTP status.
-    pub(super) status: StatusCode,
-    /// End-to-end headers.
-    pub(super) headers: HeaderMap,
-    /// The body.
-    pub(super) body: Bytes,
-}
-
 /// What a reading of the directory brought.
 #[derive(Debug)]
 pub(super) enum DirectoryNews {
--- a/daemon/src/forward/forward_calls.rs
+++ b/daemon/src/forward/forward_calls.rs
@@ -33,23 +33,17 @@
 use smallvec::SmallVec;
 
 use super::{
+    arrived_request::ArrivedRequest,
     call_desk::{
         CallDesk,
         CallHead, //
     },
-    desk_event::{
-        ArrivedRequest,
-        CallerReply, //
-    },
+    caller_reply::CallerReply,
     forward_loop::{
         ForwardLoop,
         RunningExchange, //
     },
-    forward_metrics::{
-        ReasonLabel,
-        RouteLabel,
-        RouteLabels, //
-    },
+    forward_metrics::RouteLabels,
     forward_notes::millis,
     replica_exchange::ExchangeEnd, //
 };
@@ -213,8 +207,8 @@
         if refusal == EarlyRefusal::Starting {
             retry_after(&mut reply.headers, RETRY_STARTING);
         }
-        let labels = ReasonLabel { reason };
-        self.metrics.refusals.get_or_create(&labels).inc();
+        let label = [("reason", reason)];
+        self.metrics.refusals.get_or_create(&label).inc();
         if self.notes.may_write(now, true) {
             let id = request_id(&arrived.head.headers);
             log_event!(
@@ -237,9 +231,7 @@
     ) {
         let route = desk.route.to_string();
         let age = now.since(desk.arrived);
-        let label = RouteLabel {
-            route: route.clone(),
-        };
+        let label = [("route", route.clone())];
         let latency = self.metrics.latency.get_or_create(&label);
         latency.observe(age.as_secs_f64());
         let labels = RouteLabels { route, result };
--- a/daemon/src/forward/forward_feed.rs
+++ b/daemon/src/forward/forward_feed.rs
@@ -24,7 +24,6 @@
         DirectoryNews, //
     },
     forward_loop::ForwardLoop,
-    forward_metrics::StoreLabels,
     store_reader::ReadError, //
 };
 use crate::{
@@ -95,7 +94,7 @@
                 Err(ReadError::BadAnswer(_)) => "bad_answer",
                 Err(ReadError::CallFailed(_)) => "failed",
             };
-            let labels = StoreLabels { call, result };
+            let labels = [("call", *call), ("result", result)];
             self.metrics.store_reads.get_or_create(&labels).inc();
         }
         match news {
--- a/daemon/src/forward/forward_front.rs
+++ b/daemon/src/forward/forward_front.rs
@@ -45,10 +45,10 @@
     },
 };
 
-use super::desk_event::{
-    ArrivedRequest,
-    CallerReply,
-    DeskEvent, //
+use super::{
+    arrived_request::ArrivedRequest,
+    caller_reply::CallerReply,
+    desk_event::DeskEvent, //
 };
 use crate::{
     front_view::FrontView,
--- a/daemon/src/forward/forward_loop.rs
+++ b/daemon/src/forward/forward_loop.rs
@@ -47,12 +47,7 @@
 use super::{
     call_desk::CallDesk,
     desk_event::DeskEvent,
-    forward_metrics::{
-        CauseLabels,
-        ForwardMetrics,
-        ServiceLabel,
-        StateLabel, //
-    },
+    forward_metrics::ForwardMetrics,
     forward_notes::ForwardNotes,
     forward_peers::WaitingCall,
     link_shelf::LinkShelf,
@@ -288,13 +283,13 @@
     fn note(&mut self, now: TimePoint, note: &ForwardNote) {
         let query = match note {
             ForwardNote::SentAgain { query, cause, .. } => {
-                let labels = CauseLabels { cause };
-                self.metrics.extras.get_or_create(&labels).inc();
+                let label = [("cause", *cause)];
+                self.metrics.extras.get_or_create(&label).inc();
                 Some(query)
             }
             ForwardNote::AttemptFailed { query, cause, .. } => {
-                let labels = CauseLabels { cause };
-                self.metrics.failures.get_or_create(&labels).inc();
+                let label = [("cause", *cause)];
+                self.metrics.failures.get_or_create(&label).inc();
                 Some(query)
             }
             _ => None,
@@ -312,18 +307,16 @@
         self.metrics.idle.set(gauge(self.shelf.count()));
         let status = self.engine.status(now);
         for (state, count) in status.replicas {
-            let labels = StateLabel { state };
+            let label = [("state", state)];
             self.metrics
                 .replicas
-                .get_or_create(&labels)
+                .get_or_create(&label)
                 .set(gauge(count));
         }
         for (service, left) in status.budgets {
-            let labels = ServiceLabel {
-                service: service.to_string(),
-            };
+            let label = [("service", service.to_string())];
             let left = i64::from(left);
-            self.metrics.budget.get_or_create(&labels).set(left);
+            self.metrics.budget.get_or_create(&label).set(left);
         }
         self.metrics.waiting.set(gauge(status.waiting));
     }
--- a/daemon/src/forward/forward_metrics.rs
+++ b/daemon/src/forward/forward_metrics.rs
@@ -26,49 +26,10 @@
     pub(super) result: &'static str,
 }
 
-/// Labels of a cause.
-#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
-pub(super) struct CauseLabels {
-    /// The cause.
-    pub(super) cause: &'static str,
-}
-
-/// Label of a reason.
-#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
-pub(super) struct ReasonLabel {
-    /// The reason.
-    pub(super) reason: &'static str,
-}
-
-/// Label of a replica's state.
-#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
-pub(super) struct StateLabel {
-    /// The state.
-    pub(super) state: &'static str,
-}
-
-/// Labels of a call to the store.
-#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
-pub(super) struct StoreLabels {
-    /// What was asked for.
-    pub(super) call: &'static str,
-    /// How it ended.
-    pub(super) result: &'static str,
-}
-
-/// Label of a service.
-#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
-pub(super) struct ServiceLabel {
-    /// Service.
-    pub(super) service: String,
-}
-
-/// Label of a route.
-#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
-pub(super) struct RouteLabel {
-    /// Route.
-    pub(super) route: String,
-}
+/// A label whose values are known beforehand.
+pub(super) type FixedLabel = [(&'static str, &'static str); 1];
+/// A label whose values come from the configuration.
+pub(super) type NamedLabel = [(&'static str, String); 1];
 
 /// All metrics of forwarding. Clones share their values.
 #[derive(Clone, Debug)]
@@ -76,15 +37,15 @@
     /// Requests by route and outcome.
     pub(super) requests: Family<RouteLabels, Counter>,
     /// Requests refused before they had a route to go by, by reason.
-    pub(super) refusals: Family<ReasonLabel, Counter>,
+    pub(super) refusals: Family<FixedLabel, Counter>,
     /// Time from arrival to answer by route.
-    pub(super) latency: Family<RouteLabel, Histogram>,
+    pub(super) latency: Family<NamedLabel, Histogram>,
     /// Requests sent to replicas.
     pub(super) sends: Counter,
     /// Those among them that are not the first to their service, by cause.
-    pub(super) extras: Family<CauseLabels, Counter>,
+    pub(super) extras: Family<FixedLabel, Counter>,
     /// Failed attempts by cause.
-    pub(super) failures: Family<CauseLabels, Counter>,
+    pub(super) failures: Family<FixedLabel, Counter>,
     /// Connections opened to replicas.
     pub(super) opened: Counter,
     /// Requests in flight.
@@ -92,9 +53,9 @@
     /// Idle connections to replicas.
     pub(super) idle: Gauge,
     /// Replicas by state.
-    pub(super) replicas: Family<StateLabel, Gauge>,
+    pub(super) replicas: Family<FixedLabel, Gauge>,
     /// Second sends that the budget of a service still allows.
-    pub(super) budget: Family<ServiceLabel, Gauge>,
+    pub(super) budget: Family<NamedLabel, Gauge>,
     /// Parts of requests that wait for a replica.
     pub(super) waiting: Gauge,
     /// Version of the table in force.
@@ -102,7 +63,7 @@
     /// Daemons known, this one included.
     pub(super) daemons: Gauge,
     /// Readings of the directory's store by kind and outcome.
-    pub(super) store_reads: Family<StoreLabels, Counter>,
+    pub(super) store_reads: Family<[(&'static str, &'static str); 2], Counter>,
     /// Times that the directory's store was lost.
     pub(super) store_lost: Counter,
     /// Log lines left out because there were too many.
--- a/daemon/src/forward/mod.rs
+++ b/daemon/src/forward/mod.rs
@@ -1,6 +1,8 @@
 //! Forwarding on the users' platform: sockets around `policy::forward` and `policy::directory`.
 
+mod arrived_request;
 mod call_desk;
+mod caller_reply;
 mod desk_event;
 mod forward_calls;
 mod forward_feed;
--- a/policy/src/directory/directory_feed.rs
+++ b/policy/src/directory/directory_feed.rs
@@ -5,7 +5,6 @@
         BTreeMap,
         BTreeSet, //
     },
-    net::SocketAddr,
     time::Duration, //
 };
 
@@ -25,8 +24,10 @@
         FeedSource, //
     },
     DirectoryBook,
+    FeedAnswer,
     FeedPage,
-    FeedPeer, //
+    FeedPeer,
+    FeedStep, //
 };
 
 /// Pause between two readings of changes from the store. Replicas renew their registrations all the
@@ -45,45 +46,6 @@
 /// few round trips, and one that has lost its power with it never does.
 const START_PATIENCE: Duration = Duration::from_millis(200);
 
-/// What to do next to keep up with the directory.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum FeedStep {
-    /// Read all of it from the store.
-    ReadAll,
-    /// Read from the store what has changed since a revision.
-    ReadChanges {
-        /// The revision.
-        after: u64,
-    },
-    /// Ask a reader.
-    AskPeer {
-        /// Its name.
-        daemon: DaemonName,
-        /// Where it listens for peers.
-        address: SocketAddr,
-        /// The revision known; `None` asks for all.
-        after: Option<u64>,
-        /// Longest wait for the answer.
-        patience: Duration,
-    },
-    /// Nothing before this time.
-    Rest {
-        /// The time.
-        until: TimePoint,
-    },
-}
-
-/// What a daemon is told that asks this one.
-#[derive(Clone, Debug, PartialEq)]
-pub enum FeedAnswer {
-    /// The news.
-    Page(FeedPage),
-    /// Nothing new before this time.
-    Wait(TimePoint),
-    /// This daemon does not know what is new.
-    Stale,
-}
-
 /// The directory as this daemon keeps it.
 #[derive(Clone, Debug)]
 pub struct DirectoryFeed {
--- a/policy/src/directory/feed_plan.rs
+++ b/policy/src/directory/feed_plan.rs
@@ -6,7 +6,6 @@
 
 use std::{
     collections::BTreeMap,
-    net::SocketAddr,
     time::Duration, //
 };
 
@@ -18,6 +17,8 @@
 };
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::FeedPeer;
+
 /// Daemons that read the store: one may fail without a gap.
 const READERS: usize = 2;
 /// Time for which a reader is not asked after it failed to answer.
@@ -30,17 +31,6 @@
 /// Shortest such pause, and that of a reader.
 const STORE_AVOID_MIN: Duration = Duration::from_millis(600);
 
-/// Another daemon, as the plan needs it.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct FeedPeer {
-    /// Its name.
-    pub daemon: DaemonName,
-    /// Where it listens for peers.
-    pub address: SocketAddr,
-    /// Its data centre.
-    pub zone: ZoneName,
-}
-
 /// Where to read the directory.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(super) enum FeedSource {
--- a/policy/src/directory/mod.rs
+++ b/policy/src/directory/mod.rs
@@ -2,15 +2,16 @@
 
 mod directory_book;
 mod directory_feed;
+mod feed_answer;
 mod feed_log;
 mod feed_page;
+mod feed_peer;
 mod feed_plan;
+mod feed_step;
 
 pub use directory_book::DirectoryBook;
-pub use directory_feed::{
-    DirectoryFeed,
-    FeedAnswer,
-    FeedStep, //
-};
+pub use directory_feed::DirectoryFeed;
+pub use feed_answer::FeedAnswer;
 pub use feed_page::FeedPage;
-pub use feed_plan::FeedPeer;
+pub use feed_peer::FeedPeer;
+pub use feed_step::FeedStep;
--- a/policy/src/forward/delivery.rs
+++ b/policy/src/forward/delivery.rs
@@ -9,11 +9,11 @@
 
 use super::{
     forward_engine::AttemptTrack,
-    forward_run::{
+    forward_part::{
         ForwardPart,
-        ForwardRun,
         PartState, //
     },
+    forward_run::ForwardRun,
     ForwardAction,
     ForwardEngine,
     ForwardNote,
--- a/policy/src/forward/forward_event.rs
+++ b/policy/src/forward/forward_event.rs
@@ -1,12 +1,7 @@
 //! What the daemon tells the forwarding engine.
 
-use std::{
-    sync::Arc,
-    time::Duration, //
-};
+use std::sync::Arc;
 
-use bytes::Bytes;
-use compact_str::CompactString;
 use schema::{
     AttemptId,
     QueryId,
@@ -14,62 +9,12 @@
     ReplicaName, //
 };
 
-use super::RouteIndex;
-
-/// A caller's request, as far as decisions need it.
-#[derive(Clone, Debug)]
-pub struct ForwardCall {
-    /// The table in force at its arrival.
-    pub index: Arc<RouteIndex>,
-    /// Place of its route in the table.
-    pub route: usize,
-    /// Time that the caller will wait; `None` where it does not say.
-    pub patience: Option<Duration>,
-}
-
-/// A whole reply of a replica.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct ForwardReply {
-    /// HTTP status.
-    pub status: u16,
-    /// Whether the replica says that it did not run the request.
-    pub not_run: bool,
-    /// Whether another replica answered than the one asked for.
-    pub moved: bool,
-    /// The replica's signature, where the reply has one.
-    pub stamp: Option<CompactString>,
-    /// The body.
-    pub body: Bytes,
-}
-
-impl ForwardReply {
-    /// Whether it is a signed success.
-    pub fn is_success(&self) -> bool {
-        (200..300).contains(&self.status) && self.stamp.is_some()
-    }
-}
-
-/// Why an attempt brought no reply.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum ForwardFailure {
-    /// No connection: nothing was sent.
-    Unconnected,
-    /// The connection ended before the reply was whole: it may have run.
-    Broken,
-    /// What came is no reply to this request: it may have run.
-    Garbled,
-}
-
-impl ForwardFailure {
-    /// The name in logs and metrics.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Unconnected => "unconnected",
-            Self::Broken => "broken",
-            Self::Garbled => "garbled",
-        }
-    }
-}
+use super::{
+    ForwardCall,
+    ForwardFailure,
+    ForwardReply,
+    RouteIndex, //
+};
 
 /// An event for the forwarding engine.
 #[derive(Clone, Debug)]
--- a/policy/src/forward/mod.rs
+++ b/policy/src/forward/mod.rs
@@ -8,9 +8,13 @@
 mod extra_budget;
 mod forward_action;
 mod forward_answer;
+mod forward_call;
 mod forward_engine;
 mod forward_event;
+mod forward_failure;
 mod forward_note;
+mod forward_part;
+mod forward_reply;
 mod forward_run;
 mod forward_settings;
 mod forward_status;
@@ -35,14 +39,12 @@
     ForwardAnswer,
     RefusalReason, //
 };
+pub use forward_call::ForwardCall;
 pub use forward_engine::ForwardEngine;
-pub use forward_event::{
-    ForwardCall,
-    ForwardEvent,
-    ForwardFailure,
-    ForwardReply, //
-};
+pub use forward_event::ForwardEvent;
+pub use forward_failure::ForwardFailure;
 pub use forward_note::ForwardNote;
+pub use forward_reply::ForwardReply;
 pub use forward_settings::ForwardSettings;
 pub use forward_status::ForwardStatus;
 pub use latency_sketch::LatencySketch;
--- a/policy/src/forward/outcomes.rs
+++ b/policy/src/forward/outcomes.rs
@@ -7,10 +7,8 @@
 
 use super::{
     forward_engine::AttemptTrack,
-    forward_run::{
-        ForwardRun,
-        PartState, //
-    },
+    forward_part::PartState,
+    forward_run::ForwardRun,
     ForwardAction,
     ForwardEngine,
     ForwardFailure,
--- a/policy/src/forward/settling.rs
+++ b/policy/src/forward/settling.rs
@@ -10,10 +10,8 @@
 };
 
 use super::{
-    forward_run::{
-        ForwardRun,
-        PartState, //
-    },
+    forward_part::PartState,
+    forward_run::ForwardRun,
     merge_records,
     ForwardAction,
     ForwardAnswer,
