--- a/cli/tests/accept.rs
+++ b/cli/tests/accept.rs
@@ -12,12 +12,12 @@
 use standin::StoreFault;
 use workdir::{
     with_store,
-    Ran,
+    RanCommand,
     WorkDir, //
 };
 
 /// Writes, signs and accepts a version with so many slots.
-fn put_in_force(dir: &WorkDir, slots: u32) -> Ran {
+fn put_in_force(dir: &WorkDir, slots: u32) -> RanCommand {
     let name = format!("slots-{slots}");
     sign_slots(dir, slots, &name);
     dir.accept(&name)
--- a/cli/tests/live/mod.rs
+++ b/cli/tests/live/mod.rs
@@ -38,7 +38,7 @@
 use crate::workdir::{
     bundle_yaml,
     settings_yaml,
-    Ran,
+    RanCommand,
     WorkDir, //
 };
 
@@ -238,7 +238,11 @@
     }
 
     /// Sends a query and gives the answer, or the exit code and error.
-    pub(crate) fn query(&self, daemon: &DaemonProcess, args: &[&str]) -> (Ran, serde_json::Value) {
+    pub(crate) fn query(
+        &self,
+        daemon: &DaemonProcess,
+        args: &[&str],
+    ) -> (RanCommand, serde_json::Value) {
         let address = daemon.caller.to_string();
         let mut all = vec!["query", "--json", "--daemon", &address];
         all.extend(args);
--- a/cli/tests/workdir/mod.rs
+++ b/cli/tests/workdir/mod.rs
@@ -27,7 +27,7 @@
 
 /// What a command gave.
 #[derive(Debug)]
-pub(crate) struct Ran {
+pub(crate) struct RanCommand {
     pub(crate) code: i32,
     pub(crate) out: String,
     pub(crate) err: String,
@@ -59,8 +59,8 @@
         command
     }
 
-    pub(crate) fn run(&self, args: &[&str]) -> Ran {
-        Ran::from(self.command(args).output().unwrap())
+    pub(crate) fn run(&self, args: &[&str]) -> RanCommand {
+        RanCommand::from(self.command(args).output().unwrap())
     }
 
     /// Runs a command that must succeed.
@@ -84,7 +84,7 @@
     }
 
     /// Signs `bundle` by `signer` into `out`.
-    pub(crate) fn sign(&self, signer: &str, bundle: &str, out: &str) -> Ran {
+    pub(crate) fn sign(&self, signer: &str, bundle: &str, out: &str) -> RanCommand {
         let key = format!("{signer}.key");
         self.run(&[
             "sign",
@@ -100,12 +100,12 @@
         ])
     }
 
-    pub(crate) fn accept(&self, signed: &str) -> Ran {
+    pub(crate) fn accept(&self, signed: &str) -> RanCommand {
         self.run(&["accept", "--settings", "settings.yaml", signed])
     }
 }
 
-impl From<Output> for Ran {
+impl From<Output> for RanCommand {
     fn from(output: Output) -> Self {
         Self {
             code: output.status.code().unwrap_or(-1),
--- a/policy/tests/charges_kit/mod.rs
+++ b/policy/tests/charges_kit/mod.rs
@@ -50,7 +50,7 @@
 pub(crate) const START: TimePoint = TimePoint(1_764_817_210_000_000);
 
 #[derive(Clone, Debug)]
-pub(crate) enum Step {
+pub(crate) enum LedgerStep {
     Charge(usize, ChargeToken),
     Event(usize, u64, Box<ChargeEvent>),
     Apply(usize, u64, u64, StoreCall),
@@ -78,7 +78,7 @@
     pub(crate) calls: BTreeMap<u64, u64>,
     pub(crate) refused: u64,
     tokens: BTreeMap<(usize, u64), ChargeToken>,
-    queue: BTreeMap<(TimePoint, u64), Step>,
+    queue: BTreeMap<(TimePoint, u64), LedgerStep>,
     steps: u64,
     edit: fn(&mut ChargeSettings),
 }
@@ -119,18 +119,18 @@
                 ledger: None,
                 life: 0,
             });
-            scene.step(START, Step::Start(node));
+            scene.step(START, LedgerStep::Start(node));
         }
-        scene.step(START, Step::Notice);
+        scene.step(START, LedgerStep::Notice);
         scene
     }
 
-    pub(crate) fn at(&mut self, at: TimePoint, step: Step) {
+    pub(crate) fn at(&mut self, at: TimePoint, step: LedgerStep) {
         self.steps += 1;
         self.queue.insert((at, self.steps), step);
     }
 
-    fn after(&mut self, now: TimePoint, least_us: u64, most_us: u64, step: Step) {
+    fn after(&mut self, now: TimePoint, least_us: u64, most_us: u64, step: LedgerStep) {
         let delay = self.random.random_range(least_us..most_us);
         self.at(now + Duration::from_micros(delay), step);
     }
@@ -146,25 +146,27 @@
         }
     }
 
-    fn step(&mut self, now: TimePoint, step: Step) {
+    fn step(&mut self, now: TimePoint, step: LedgerStep) {
         match step {
-            Step::Charge(node, token) => self.charge(now, node, token),
-            Step::Event(node, life, event) if life == self.nodes[node].life => {
+            LedgerStep::Charge(node, token) => self.charge(now, node, token),
+            LedgerStep::Event(node, life, event) if life == self.nodes[node].life => {
                 self.tell(now, node, *event);
             }
-            Step::Wake(node, life) if life == self.nodes[node].life => {
+            LedgerStep::Wake(node, life) if life == self.nodes[node].life => {
                 let ledger = self.nodes[node].ledger.as_ref();
                 if ledger.is_some_and(|ledger| ledger.next_wakeup() <= now) {
                     self.tell(now, node, ChargeEvent::TimerFired);
                 }
             }
-            Step::Apply(node, life, call, request) => self.apply(now, node, life, call, &request),
-            Step::Kill(node) => {
+            LedgerStep::Apply(node, life, call, request) => {
+                self.apply(now, node, life, call, &request)
+            }
+            LedgerStep::Kill(node) => {
                 self.nodes[node].ledger = None;
                 self.nodes[node].life += 1;
-                self.after(now, 500_000, 3_000_000, Step::Notice);
+                self.after(now, 500_000, 3_000_000, LedgerStep::Notice);
             }
-            Step::Start(node) => {
+            LedgerStep::Start(node) => {
                 let life = self.nodes[node].life;
                 let peer = peer(node, life);
                 let mut settings =
@@ -174,10 +176,10 @@
                 // It takes no requests before it has joined.
                 let peers = self.alive_without(node);
                 self.tell(now, node, ChargeEvent::PeersChanged { peers });
-                self.after(now, 500_000, 3_000_000, Step::Notice);
+                self.after(now, 500_000, 3_000_000, LedgerStep::Notice);
             }
-            Step::Notice => self.notice(now),
-            Step::Event(..) | Step::Wake(..) => {}
+            LedgerStep::Notice => self.notice(now),
+            LedgerStep::Event(..) | LedgerStep::Wake(..) => {}
         }
     }
 
@@ -246,7 +248,7 @@
         }
         if wake < TimePoint::NEVER {
             let at = wake.max(now + Duration::from_micros(100));
-            self.at(at, Step::Wake(node, life));
+            self.at(at, LedgerStep::Wake(node, life));
         }
     }
 
@@ -271,7 +273,7 @@
                     peer: name(node),
                     reply,
                 });
-                self.after(now, 200, 2_000, Step::Event(to, to_life, event));
+                self.after(now, 200, 2_000, LedgerStep::Event(to, to_life, event));
             }
             ChargeAction::TellStored { peer, call } => {
                 let event = ChargeEvent::StoredHeard { call };
@@ -279,7 +281,12 @@
             }
             ChargeAction::Store { call, request } => {
                 *self.calls.entry(now.0 / 1_000_000).or_default() += 1;
-                self.after(now, 500, 5_000, Step::Apply(node, life, call, request));
+                self.after(
+                    now,
+                    500,
+                    5_000,
+                    LedgerStep::Apply(node, life, call, request),
+                );
             }
         }
     }
@@ -296,11 +303,16 @@
         let to = to.expect("peer");
         if self.nodes[to].ledger.is_none() {
             let failed = Box::new(ChargeEvent::CopyFailed { peer: peer.clone() });
-            self.after(now, 200, 2_000, Step::Event(from, life, failed));
+            self.after(now, 200, 2_000, LedgerStep::Event(from, life, failed));
             return;
         }
         let life = self.nodes[to].life;
-        self.after(now, 200, 2_000, Step::Event(to, life, Box::new(event)));
+        self.after(
+            now,
+            200,
+            2_000,
+            LedgerStep::Event(to, life, Box::new(event)),
+        );
     }
 
     fn apply(&mut self, now: TimePoint, node: usize, life: u64, call: u64, request: &StoreCall) {
@@ -314,7 +326,7 @@
             self.store.apply(now, request)
         };
         let event = Box::new(ChargeEvent::StoreReplied { call, reply });
-        self.after(now, 500, 5_000, Step::Event(node, life, event));
+        self.after(now, 500, 5_000, LedgerStep::Event(node, life, event));
     }
 
     /// Whether a segment of the store has the token.
--- a/policy/tests/charges_rollup.rs
+++ b/policy/tests/charges_rollup.rs
@@ -9,7 +9,7 @@
 
 use charges_kit::{
     ChargeScene,
-    Step,
+    LedgerStep,
     START, //
 };
 use policy::charges::{
@@ -147,7 +147,7 @@
         });
         for milli in 0..6_000 {
             let at = START + Duration::from_millis(milli);
-            scene.at(at, Step::Charge(0, ChargeToken(milli.into())));
+            scene.at(at, LedgerStep::Charge(0, ChargeToken(milli.into())));
         }
         let gone = ChargeEvent::PeerGone {
             daemon: "daemon-0".parse().expect("name"),
@@ -155,7 +155,7 @@
         };
         for node in 1..4 {
             let at = START + Duration::from_millis(500 + 300 * node as u64);
-            scene.at(at, Step::Event(node, 0, Box::new(gone.clone())));
+            scene.at(at, LedgerStep::Event(node, 0, Box::new(gone.clone())));
         }
         let end = START + Duration::from_secs(60);
         scene.run_until(end);
@@ -176,15 +176,18 @@
         }
         for token in 0..500 {
             let at = START + Duration::from_millis(token);
-            scene.at(at, Step::Charge(0, ChargeToken(token.into())));
+            scene.at(at, LedgerStep::Charge(0, ChargeToken(token.into())));
         }
         let stop = START + Duration::from_millis(600);
-        scene.at(stop, Step::Event(0, 0, Box::new(ChargeEvent::StopAsked)));
+        scene.at(
+            stop,
+            LedgerStep::Event(0, 0, Box::new(ChargeEvent::StopAsked)),
+        );
         let exit = START + Duration::from_secs(3);
         scene.run_until(exit);
         let ledger = scene.nodes[0].ledger.as_ref().expect("ledger");
         assert!(ledger.is_drained(), "store down: {down}");
-        scene.at(exit, Step::Kill(0));
+        scene.at(exit, LedgerStep::Kill(0));
         let end = START + Duration::from_secs(90);
         scene.run_until(end);
         let report = scene.report(end);
--- a/policy/tests/charges_schedules.rs
+++ b/policy/tests/charges_schedules.rs
@@ -10,7 +10,7 @@
 
 use charges_kit::{
     ChargeScene,
-    Step,
+    LedgerStep,
     START, //
 };
 use policy::charges::ChargeToken;
@@ -32,7 +32,7 @@
         let token = ChargeToken(u128::from(charge - charge / 10));
         let node = scene.random.random_range(0..NODES);
         let at = within(&mut scene, 10_000);
-        scene.at(at, Step::Charge(node, token));
+        scene.at(at, LedgerStep::Charge(node, token));
     }
     if scene.random.random_bool(0.5) {
         let from = within(&mut scene, 5_000);
@@ -45,9 +45,9 @@
         let node = scene.random.random_range(0..NODES);
         let other = (node + scene.random.random_range(1..NODES)) % NODES;
         for dead in [node, other] {
-            scene.at(at, Step::Kill(dead));
+            scene.at(at, LedgerStep::Kill(dead));
             let back = scene.random.random_range(100..6_000);
-            scene.at(at + Duration::from_millis(back), Step::Start(dead));
+            scene.at(at + Duration::from_millis(back), LedgerStep::Start(dead));
         }
     }
     scene
@@ -97,7 +97,7 @@
             for _ in 0..5 {
                 made += 1;
                 let at = START + Duration::from_millis(second * 1_000 + made % 1_000);
-                scene.at(at, Step::Charge(node, ChargeToken(made.into())));
+                scene.at(at, LedgerStep::Charge(node, ChargeToken(made.into())));
             }
         }
     }
@@ -132,7 +132,7 @@
             for _ in 0..4 {
                 made += 1;
                 let at = START + Duration::from_millis(milli);
-                scene.at(at, Step::Charge(node, ChargeToken(made)));
+                scene.at(at, LedgerStep::Charge(node, ChargeToken(made)));
             }
         }
     }
@@ -150,7 +150,7 @@
     scene.down = (START, START + Duration::from_secs(60));
     for milli in 0..5_000 {
         let at = START + Duration::from_millis(milli);
-        scene.at(at, Step::Charge(0, ChargeToken(milli.into())));
+        scene.at(at, LedgerStep::Charge(0, ChargeToken(milli.into())));
     }
     scene.run_until(START + Duration::from_secs(30));
     let ledger = scene.nodes[0].ledger.as_ref().expect("ledger");
--- a/policy/tests/engine_faults.rs
+++ b/policy/tests/engine_faults.rs
@@ -8,7 +8,7 @@
 
 use engine_world::{
     span,
-    World, //
+    EngineWorld, //
 };
 use policy::engine::{
     AnswerOutcome,
@@ -27,7 +27,7 @@
     name: &'static str,
     group: &'static str,
     min: Option<u32>,
-    fault: fn(&mut World),
+    fault: fn(&mut EngineWorld),
     outcome: AnswerOutcome,
     reason: Option<QueryReason>,
     /// Quarters of the key space heard.
@@ -55,7 +55,7 @@
 };
 
 /// Does `change` to one replica in three, or to all.
-fn each(world: &mut World, all: bool, change: fn(&mut engine_world::FakeVm)) {
+fn each(world: &mut EngineWorld, all: bool, change: fn(&mut engine_world::FakeVm)) {
     for (vm, fake) in &mut world.vms {
         if all || vm.as_str().ends_with('0') {
             change(fake);
@@ -63,7 +63,7 @@
     }
 }
 
-fn shard(world: &mut World, shard: u32, change: fn(&mut engine_world::FakeVm)) {
+fn shard(world: &mut EngineWorld, shard: u32, change: fn(&mut engine_world::FakeVm)) {
     for vm in world.shard(shard) {
         change(world.vms.get_mut(&vm).unwrap());
     }
@@ -283,8 +283,8 @@
 }
 
 /// A world in which both groups have been asked often enough to be known.
-fn warm(policy: PolicySpec) -> World {
-    let mut world = World::new(11, SHARDS, policy);
+fn warm(policy: PolicySpec) -> EngineWorld {
+    let mut world = EngineWorld::new(11, SHARDS, policy);
     for _ in 0..40 {
         world.answer("find", DEADLINE_MS, None);
         world.answer("order", DEADLINE_MS, None);
--- a/policy/tests/engine_random.rs
+++ b/policy/tests/engine_random.rs
@@ -9,8 +9,8 @@
 use engine_world::{
     items,
     span,
+    EngineWorld, //
     FaultRates,
-    World, //
 };
 use policy::engine::{
     AnswerOutcome,
@@ -69,7 +69,7 @@
 }
 
 /// Changes the upstreams at random: splits, moves, new and dropped snapshots, deaths, drains.
-fn disturb(world: &mut World) {
+fn disturb(world: &mut EngineWorld) {
     let names: Vec<VmName> = world.vms.keys().cloned().collect();
     let vm = names[world.random.random_range(0..names.len())].clone();
     let kind = world.random.random_range(0..9);
@@ -94,8 +94,14 @@
 }
 
 /// Runs a random schedule in which `unrest` per cent of the requests see a change of upstreams.
-fn play(seed: u64, rates: FaultRates, policy: PolicySpec, queries: u32, unrest: u32) -> World {
-    let mut world = World::new(seed, SHARDS, policy);
+fn play(
+    seed: u64,
+    rates: FaultRates,
+    policy: PolicySpec,
+    queries: u32,
+    unrest: u32,
+) -> EngineWorld {
+    let mut world = EngineWorld::new(seed, SHARDS, policy);
     world.rates = rates;
     for place in 0..queries {
         let gap = world.random.random_range(0..6000);
@@ -118,7 +124,7 @@
     world
 }
 
-fn judge(world: &World, query: QueryId) {
+fn judge(world: &EngineWorld, query: QueryId) {
     let log = &world.queries[&query];
     let once = log.call.once_key.is_some();
     if log.gone && log.answers.is_empty() {
--- a/policy/tests/engine_tail.rs
+++ b/policy/tests/engine_tail.rs
@@ -7,9 +7,9 @@
 use std::time::Duration;
 
 use engine_world::{
+    EngineWorld, //
     FakeVm,
     FaultRates,
-    World, //
 };
 use policy::engine::AnswerOutcome;
 use rand::Rng;
@@ -33,8 +33,8 @@
 
 /// Asks `QUERIES` requests at random times; the faults begin after a quarter of them and the
 /// figures are those of the second half.
-fn figures(rates: FaultRates, change: fn(&mut World)) -> TailFigures {
-    let mut world = World::new(21, SHARDS, PolicySpec::default());
+fn figures(rates: FaultRates, change: fn(&mut EngineWorld)) -> TailFigures {
+    let mut world = EngineWorld::new(21, SHARDS, PolicySpec::default());
     world.sigma = 0.4;
     let mut queries = Vec::new();
     for place in 0..QUERIES {
@@ -73,7 +73,7 @@
 }
 
 /// Slows or kills one replica of each shard.
-fn one_of_each(world: &mut World, change: fn(&mut FakeVm)) {
+fn one_of_each(world: &mut EngineWorld, change: fn(&mut FakeVm)) {
     for (vm, fake) in &mut world.vms {
         if vm.as_str().ends_with('0') {
             change(fake);
@@ -116,7 +116,7 @@
 }
 
 /// The 99th percentile stays within 1.3 times that without a fault, at 5 % extra sub-queries.
-fn check(name: &str, rates: FaultRates, change: fn(&mut World)) {
+fn check(name: &str, rates: FaultRates, change: fn(&mut EngineWorld)) {
     let base = figures(FaultRates::default(), |_| {});
     assert_eq!(base.complete, base.asked);
     let run = figures(rates, change);
--- a/policy/tests/engine_world/mod.rs
+++ b/policy/tests/engine_world/mod.rs
@@ -104,7 +104,7 @@
 }
 
 /// Engine, upstreams and time.
-pub(crate) struct World {
+pub(crate) struct EngineWorld {
     pub(crate) engine: QueryEngine,
     pub(crate) now: TimePoint,
     pub(crate) rates: FaultRates,
@@ -157,7 +157,7 @@
     Arc::new(DeploymentSpec::from_body(&body).unwrap())
 }
 
-impl World {
+impl EngineWorld {
     /// Three replicas for each shard, all well, on snapshot 1.
     pub(crate) fn new(seed: u64, shards: u32, policy: bundle::PolicySpec) -> Self {
         let settings = EngineSettings {
--- a/policy/tests/limits_bench/mod.rs
+++ b/policy/tests/limits_bench/mod.rs
@@ -30,7 +30,7 @@
 
 /// A load on the gates.
 #[derive(Clone)]
-pub(crate) struct Load {
+pub(crate) struct OfferedLoad {
     pub(crate) daemons: usize,
     pub(crate) slots: usize,
     pub(crate) service: Duration,
@@ -45,7 +45,7 @@
 
 /// What came of it, after the first quarter.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Outcome {
+pub(crate) struct GateOutcome {
     pub(crate) useful: f64,
     pub(crate) late: u64,
     pub(crate) refused: u64,
@@ -73,7 +73,7 @@
 }
 
 struct Bench {
-    load: Load,
+    load: OfferedLoad,
     now: TimePoint,
     random: Pcg64Mcg,
     events: BinaryHeap<Reverse<(TimePoint, Event)>>,
@@ -84,13 +84,13 @@
     backlog: VecDeque<u64>,
     busy: usize,
     latencies: Vec<Duration>,
-    outcome: Outcome,
+    outcome: GateOutcome,
     next: u64,
     group: GroupName,
 }
 
 /// Runs `load`.
-pub(crate) fn run(load: &Load) -> Outcome {
+pub(crate) fn run(load: &OfferedLoad) -> GateOutcome {
     let mut bench = Bench {
         now: TimePoint(1_000_000),
         random: Pcg64Mcg::seed_from_u64(load.seed),
@@ -102,7 +102,7 @@
         backlog: VecDeque::new(),
         busy: 0,
         latencies: Vec::new(),
-        outcome: Outcome::default(),
+        outcome: GateOutcome::default(),
         next: 0,
         group: "g".parse().unwrap(),
         load: load.clone(),
@@ -265,7 +265,7 @@
         }
     }
 
-    fn sum_up(mut self) -> Outcome {
+    fn sum_up(mut self) -> GateOutcome {
         self.latencies.sort_unstable();
         let seconds = self.load.length.as_secs_f64() * 0.75;
         let count = self.latencies.len();
--- a/policy/tests/limits_fairness.rs
+++ b/policy/tests/limits_fairness.rs
@@ -6,7 +6,7 @@
 
 use limits_bench::{
     run,
-    Load, //
+    OfferedLoad, //
 };
 
 /// Requests a second that the slots can serve.
@@ -14,10 +14,10 @@
 const EQUAL: [f64; 10] = [1.0; 10];
 const GREEDY: [f64; 10] = [10.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0];
 
-fn load(factor: f64, weights: &[f64]) -> Load {
+fn load(factor: f64, weights: &[f64]) -> OfferedLoad {
     let sum: f64 = weights.iter().sum();
     let scale = CAPACITY * factor / sum;
-    Load {
+    OfferedLoad {
         daemons: 8,
         slots: 6,
         service: Duration::from_millis(10),
@@ -74,7 +74,7 @@
 /// With slots for all, requests that take ten times as long are no sign of load.
 #[test]
 fn slow_replicas_do_not_strangle_the_group() {
-    let load = Load {
+    let load = OfferedLoad {
         slots: 1_000,
         deadline: Duration::from_secs(2),
         slow: 10..30,
--- a/policy/tests/limits_killer.rs
+++ b/policy/tests/limits_killer.rs
@@ -38,7 +38,7 @@
     ms,
     placement,
     spec,
-    Shape,
+    PoolShape,
     SETTLED, //
 };
 use schema::{
@@ -84,10 +84,10 @@
 
 impl World {
     fn new(seed: u64, narrow: bool) -> Self {
-        let shape = Shape {
+        let shape = PoolShape {
             shards: 10,
             connections: 100,
-            ..Shape::default()
+            ..PoolShape::default()
         };
         let mut engines = Vec::new();
         for daemon in 0..DAEMONS {
--- a/policy/tests/replicas_drain.rs
+++ b/policy/tests/replicas_drain.rs
@@ -22,14 +22,14 @@
     placement,
     spec,
     vm,
-    Bench,
-    Shape,
+    PoolBench,
+    PoolShape,
     SETTLED, //
 };
 use schema::KeySpan;
 
 /// Gives the pool one sign that a replica drains.
-type Sign = fn(&mut Bench, u32);
+type Sign = fn(&mut PoolBench, u32);
 
 const SIGNS: [(&str, Sign); 5] = [
     ("reply", by_reply),
@@ -39,7 +39,7 @@
     ("peer", by_peer),
 ];
 
-fn by_reply(bench: &mut Bench, replica: u32) {
+fn by_reply(bench: &mut PoolBench, replica: u32) {
     let load = ReplicaLoad {
         draining: true,
         ..ReplicaLoad::default()
@@ -47,12 +47,12 @@
     bench.reply(SETTLED, &vm(0, replica), &load);
 }
 
-fn by_refusal(bench: &mut Bench, replica: u32) {
+fn by_refusal(bench: &mut PoolBench, replica: u32) {
     bench.pool.begin(SETTLED, &vm(0, replica));
     bench.end(SETTLED, &vm(0, replica), failed(AttemptFailure::Draining));
 }
 
-fn by_list(bench: &mut Bench, replica: u32) {
+fn by_list(bench: &mut PoolBench, replica: u32) {
     let mut list = placement(bench.shape, 1);
     for placed in &mut list {
         let number = placed.vm.as_str().trim_start_matches("r0-").parse();
@@ -61,7 +61,7 @@
     bench.pool.apply_placement(SETTLED, &list, &mut bench.notes);
 }
 
-fn by_bundle(bench: &mut Bench, replica: u32) {
+fn by_bundle(bench: &mut PoolBench, replica: u32) {
     let mut body = body(bench.shape);
     for number in 0..=replica {
         body.drains.push(vm(0, number).to_string());
@@ -69,7 +69,7 @@
     bench.pool.apply_spec(SETTLED, &spec(&body));
 }
 
-fn by_peer(bench: &mut Bench, replica: u32) {
+fn by_peer(bench: &mut PoolBench, replica: u32) {
     let until = SETTLED + ms(5_000);
     let vm = vm(0, replica);
     let notes = &mut bench.notes;
@@ -80,7 +80,7 @@
 #[test]
 fn no_new_work_after_any_first_sign() {
     for (name, sign) in SIGNS {
-        let mut bench = Bench::new("d0", Shape::default(), 1);
+        let mut bench = PoolBench::new("d0", PoolShape::default(), 1);
         sign(&mut bench, 0);
         let spread = bench.spread(SETTLED + ms(1), 200);
         assert_eq!(spread[0].1, 0, "{name}");
@@ -93,7 +93,7 @@
 #[test]
 fn all_of_a_shard_draining_is_unreachable() {
     for (name, sign) in SIGNS {
-        let mut bench = Bench::new("d0", Shape::default(), 1);
+        let mut bench = PoolBench::new("d0", PoolShape::default(), 1);
         for replica in 0..3 {
             sign(&mut bench, replica);
         }
@@ -107,7 +107,7 @@
 #[test]
 fn a_mark_lapses_into_a_probe() {
     for sign in [by_reply as Sign, by_refusal, by_peer] {
-        let mut bench = Bench::new("d0", Shape::default(), 1);
+        let mut bench = PoolBench::new("d0", PoolShape::default(), 1);
         sign(&mut bench, 0);
         let lapsed = SETTLED + DRAIN_PERIOD;
         assert!(bench.pool.next_wakeup() <= lapsed);
@@ -120,7 +120,7 @@
 
 #[test]
 fn a_list_that_takes_leaving_back_ends_the_drain() {
-    let mut bench = Bench::new("d0", Shape::default(), 1);
+    let mut bench = PoolBench::new("d0", PoolShape::default(), 1);
     by_reply(&mut bench, 0);
     by_list(&mut bench, 0);
     let list = placement(bench.shape, 1);
@@ -130,10 +130,10 @@
 
 #[test]
 fn a_mark_heard_before_the_list_names_the_vm() {
-    let shape = Shape::default();
-    let mut bench = Bench::new(
+    let shape = PoolShape::default();
+    let mut bench = PoolBench::new(
         "d0",
-        Shape {
+        PoolShape {
             replicas: 2,
             ..shape
         },
@@ -154,7 +154,7 @@
 
 #[test]
 fn exchanges_in_flight_finish_and_are_counted() {
-    let mut bench = Bench::new("d0", Shape::default(), 1);
+    let mut bench = PoolBench::new("d0", PoolShape::default(), 1);
     bench.pool.begin(SETTLED, &vm(0, 0));
     by_peer(&mut bench, 0);
     bench.end(SETTLED, &vm(0, 0), replicas_fixture::replied(10));
--- a/policy/tests/replicas_fixture/mod.rs
+++ b/policy/tests/replicas_fixture/mod.rs
@@ -38,9 +38,9 @@
     VmName, //
 };
 
-/// Shape of the one group `g`.
+/// PoolShape of the one group `g`.
 #[derive(Clone, Copy)]
-pub(crate) struct Shape {
+pub(crate) struct PoolShape {
     pub(crate) shards: u32,
     pub(crate) replicas: u32,
     pub(crate) slots: u32,
@@ -48,7 +48,7 @@
     pub(crate) daemons: u32,
 }
 
-impl Default for Shape {
+impl Default for PoolShape {
     fn default() -> Self {
         Self {
             shards: 2,
@@ -69,7 +69,7 @@
     Duration::from_millis(millis)
 }
 
-pub(crate) fn body(shape: Shape) -> BundleBody {
+pub(crate) fn body(shape: PoolShape) -> BundleBody {
     let zone = |name: &&str| ZoneSpec {
         name: name.to_string(),
         region: "r".into(),
@@ -121,7 +121,7 @@
     }
 }
 
-pub(crate) fn placement(shape: Shape, zones: u32) -> Vec<PlacedReplica> {
+pub(crate) fn placement(shape: PoolShape, zones: u32) -> Vec<PlacedReplica> {
     let shards = 0..shape.shards;
     shards
         .flat_map(|shard| (0..shape.replicas).map(move |replica| placed(shard, replica, zones)))
@@ -137,18 +137,18 @@
 }
 
 /// A daemon's pool in data centre `a`, settled at [`SETTLED`].
-pub(crate) struct Bench {
+pub(crate) struct PoolBench {
     pub(crate) pool: ReplicaPool,
     pub(crate) notes: Vec<EngineNote>,
-    pub(crate) shape: Shape,
+    pub(crate) shape: PoolShape,
 }
 
-impl Bench {
-    pub(crate) fn new(name: &str, shape: Shape, zones: u32) -> Self {
+impl PoolBench {
+    pub(crate) fn new(name: &str, shape: PoolShape, zones: u32) -> Self {
         Self::start(name, shape, zones, START)
     }
 
-    pub(crate) fn start(name: &str, shape: Shape, zones: u32, now: TimePoint) -> Self {
+    pub(crate) fn start(name: &str, shape: PoolShape, zones: u32, now: TimePoint) -> Self {
         let mut pool = ReplicaPool::new(PoolSettings {
             zone: "a".parse().unwrap(),
             name: name.parse().unwrap(),
--- a/policy/tests/replicas_health.rs
+++ b/policy/tests/replicas_health.rs
@@ -24,8 +24,8 @@
     placement,
     replied,
     vm,
-    Bench,
-    Shape,
+    PoolBench,
+    PoolShape,
     SETTLED, //
 };
 use schema::{
@@ -34,7 +34,7 @@
     VmName, //
 };
 
-fn ejected(bench: &Bench) -> Vec<VmName> {
+fn ejected(bench: &PoolBench) -> Vec<VmName> {
     let mut out = Vec::new();
     for note in &bench.notes {
         match note {
@@ -67,7 +67,7 @@
         (failed(AttemptFailure::RangeGone), None),
     ];
     for (ending, expected) in table {
-        let mut bench = Bench::new("d0", Shape::default(), 1);
+        let mut bench = PoolBench::new("d0", PoolShape::default(), 1);
         bench.settle();
         let mut count = None;
         for place in 1..40 {
@@ -83,7 +83,7 @@
 
 #[test]
 fn a_slow_replica_loses_its_work() {
-    let mut bench = Bench::new("d0", Shape::default(), 1);
+    let mut bench = PoolBench::new("d0", PoolShape::default(), 1);
     let slow = |vm_asked: &VmName| {
         let millis = if *vm_asked == vm(0, 0) { 200 } else { 10 };
         replied(millis)
@@ -100,7 +100,7 @@
 
 #[test]
 fn stragglers_everywhere_eject_nobody() {
-    let mut bench = Bench::new("d0", Shape::default(), 1);
+    let mut bench = PoolBench::new("d0", PoolShape::default(), 1);
     for step in 0_u64..5_000 {
         let straggles = step.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32 & 0x3f == 0;
         let millis = if straggles { 100 } else { 10 };
@@ -111,7 +111,7 @@
 
 #[test]
 fn one_probe_at_a_time_then_a_ramp() {
-    let mut bench = Bench::new("d0", Shape::default(), 1);
+    let mut bench = PoolBench::new("d0", PoolShape::default(), 1);
     bench.settle();
     for _ in 0..2 {
         bench.pool.begin(SETTLED, &vm(0, 0));
@@ -137,8 +137,8 @@
 
 #[test]
 fn a_new_vm_starts_cold_and_a_daemon_start_does_not() {
-    let shape = Shape::default();
-    let mut bench = Bench::new("d0", shape, 1);
+    let shape = PoolShape::default();
+    let mut bench = PoolBench::new("d0", shape, 1);
     let first = bench.spread(SETTLED, 600);
     assert!(first.iter().all(|(_, count)| *count > 150), "{first:?}");
     let mut list = placement(shape, 1);
@@ -151,8 +151,8 @@
 
 #[test]
 fn the_list_does_not_bring_an_ejected_one_back() {
-    let shape = Shape::default();
-    let mut bench = Bench::new("d0", shape, 1);
+    let shape = PoolShape::default();
+    let mut bench = PoolBench::new("d0", shape, 1);
     for _ in 0..2 {
         bench.pool.begin(SETTLED, &vm(0, 0));
         bench.end(SETTLED, &vm(0, 0), failed(AttemptFailure::ConnectFailed));
@@ -175,7 +175,7 @@
 
 #[test]
 fn the_last_replica_is_used_however_it_fares() {
-    let mut bench = Bench::new("d0", Shape::default(), 1);
+    let mut bench = PoolBench::new("d0", PoolShape::default(), 1);
     let span = KeySpan::new(0, 100).unwrap();
     let mut now = SETTLED;
     for _ in 0..200 {
@@ -194,7 +194,7 @@
 fn returns() -> Vec<TimePoint> {
     let mut returns = Vec::new();
     for daemon in 0..8 {
-        let mut bench = Bench::new(&format!("d{daemon}"), Shape::default(), 1);
+        let mut bench = PoolBench::new(&format!("d{daemon}"), PoolShape::default(), 1);
         for _ in 0..2 {
             bench.pool.begin(SETTLED, &vm(0, 0));
             bench.end(SETTLED, &vm(0, 0), failed(AttemptFailure::ConnectFailed));
@@ -232,8 +232,8 @@
     /// Whatever replicas do, at most half of a shard is out and a pick always finds a replica.
     #[test]
     fn floor(steps in prop::collection::vec((0_u32..8, 0_u32..4, 0_usize..5), 50..400)) {
-        let shape = Shape { replicas: 4, ..Shape::default() };
-        let mut bench = Bench::new("d0", shape, 1);
+        let shape = PoolShape { replicas: 4, ..PoolShape::default() };
+        let mut bench = PoolBench::new("d0", shape, 1);
         bench.settle();
         let endings = [
             replied(10),
--- a/policy/tests/replicas_pick.rs
+++ b/policy/tests/replicas_pick.rs
@@ -19,8 +19,8 @@
     ms,
     replied,
     vm,
-    Bench,
-    Shape,
+    PoolBench,
+    PoolShape,
     SETTLED, //
 };
 use schema::{
@@ -42,7 +42,7 @@
 
 #[test]
 fn own_data_centre_first_then_others_in_time() {
-    let mut bench = Bench::new("d0", Shape::default(), 3);
+    let mut bench = PoolBench::new("d0", PoolShape::default(), 3);
     for _ in 0..2 {
         let picked = bench.pick(SETTLED).unwrap();
         assert_eq!(picked.vm, vm(0, 0));
@@ -69,8 +69,8 @@
 
 #[test]
 fn busy_until_a_finish() {
-    let shape = Shape::default();
-    let mut bench = Bench::new("d0", shape, 1);
+    let shape = PoolShape::default();
+    let mut bench = PoolBench::new("d0", shape, 1);
     let mut begun = Vec::new();
     while let Some(picked) = bench.pick(SETTLED) {
         bench.pool.begin(SETTLED, &picked.vm);
@@ -83,7 +83,7 @@
 
 #[test]
 fn less_work_wins_while_the_report_is_fresh() {
-    let mut bench = Bench::new("d0", Shape::default(), 1);
+    let mut bench = PoolBench::new("d0", PoolShape::default(), 1);
     for replica in 0..3 {
         let queued = if replica == 1 { 1 } else { 8 };
         bench.reply(
@@ -100,17 +100,17 @@
 
 #[test]
 fn a_shed_reply_halves_the_limit() {
-    let mut bench = Bench::new(
+    let mut bench = PoolBench::new(
         "d0",
-        Shape {
+        PoolShape {
             connections: 100,
-            ..Shape::default()
+            ..PoolShape::default()
         },
         1,
     );
     let at = vm(0, 0);
     let others = [vm(0, 1), vm(0, 2)];
-    let room = |bench: &mut Bench, now| {
+    let room = |bench: &mut PoolBench, now| {
         let mut begun = 0;
         let span = KeySpan::new(0, 100).unwrap();
         while let PickResult::Picked(picked) = bench.pick_as(now, span, &others) {
@@ -138,9 +138,9 @@
 
 #[test]
 fn reported_spans_and_snapshots_decide() {
-    let mut bench = Bench::new("d0", Shape::default(), 1);
+    let mut bench = PoolBench::new("d0", PoolShape::default(), 1);
     let all = KeySpan::ALL;
-    let first = |bench: &mut Bench, span| match bench.pick_as(SETTLED, span, &[]) {
+    let first = |bench: &mut PoolBench, span| match bench.pick_as(SETTLED, span, &[]) {
         PickResult::Picked(picked) => Ok(picked.span),
         PickResult::Missing(reason) => Err(reason),
         PickResult::Busy => Err(QueryReason::Overload),
@@ -183,7 +183,7 @@
 
 #[test]
 fn unknown_group() {
-    let mut bench = Bench::new("d0", Shape::default(), 1);
+    let mut bench = PoolBench::new("d0", PoolShape::default(), 1);
     let group = "nobody".parse().unwrap();
     let want = PickQuery {
         group: &group,
@@ -199,7 +199,7 @@
 
 #[test]
 fn a_request_out_for_long_sends_the_next_elsewhere() {
-    let mut bench = Bench::new("d0", Shape::default(), 3);
+    let mut bench = PoolBench::new("d0", PoolShape::default(), 3);
     let first = bench.pick(SETTLED).unwrap().vm;
     assert_eq!(first, vm(0, 0));
     bench.pool.begin(SETTLED, &first);
--- a/policy/tests/replicas_share.rs
+++ b/policy/tests/replicas_share.rs
@@ -10,8 +10,8 @@
 use replicas_fixture::{
     ms,
     vm,
-    Bench,
-    Shape,
+    PoolBench,
+    PoolShape,
     START, //
 };
 use schema::TimePoint;
@@ -81,8 +81,8 @@
         .count() as u32
 }
 
-fn check_sum(lives: &[Life], shape: Shape) -> Result<(), TestCaseError> {
-    let mut benches: Vec<Option<Bench>> = lives.iter().map(|_| None).collect();
+fn check_sum(lives: &[Life], shape: PoolShape) -> Result<(), TestCaseError> {
+    let mut benches: Vec<Option<PoolBench>> = lives.iter().map(|_| None).collect();
     for step in 0..400 {
         let now = START + ms(100 * step);
         let mut connections = 0;
@@ -118,8 +118,8 @@
     Ok(())
 }
 
-fn started(place: usize, shape: Shape, start: TimePoint) -> Bench {
-    Bench::start(&format!("d{place}"), shape, 1, start)
+fn started(place: usize, shape: PoolShape, start: TimePoint) -> PoolBench {
+    PoolBench::start(&format!("d{place}"), shape, 1, start)
 }
 
 proptest! {
@@ -132,17 +132,17 @@
 
     #[test]
     fn sum_over_replaced_daemons(lives in lives(), connections in 16_u32..110) {
-        let shape = Shape { shards: 1, replicas: 1, connections, ..Shape::default() };
+        let shape = PoolShape { shards: 1, replicas: 1, connections, ..PoolShape::default() };
         check_sum(&lives, shape)?;
     }
 }
 
 #[test]
 fn all_daemons_restart_at_once() {
-    let shape = Shape {
+    let shape = PoolShape {
         shards: 1,
         replicas: 1,
-        ..Shape::default()
+        ..PoolShape::default()
     };
     let restart = START + ms(10_000);
     let mut lives = Vec::new();
