--- a/policy/src/engine/attempt_desk.rs
+++ b/policy/src/engine/attempt_desk.rs
@@ -15,7 +15,6 @@
 
 use super::{
     attempt_track::AttemptTrack,
-    dispatch::TRIAL_HEDGE,
     group_state::GroupState,
     query_run::QueryRun,
     silence_watch::SilenceWatch,
@@ -40,6 +39,10 @@
     },
 };
 
+/// Age, in quarters of the hedge delay, at which a trial is hedged: its hedge may cost a second
+/// replica.
+const TRIAL_HEDGE: u32 = 5;
+
 /// Sends attempts and keeps account of them.
 pub(super) struct AttemptDesk {
     /// Replicas.
--- a/policy/src/engine/dispatch.rs
+++ b/policy/src/engine/dispatch.rs
@@ -37,9 +37,6 @@
 const TRIAL_ATTEMPTS: usize = 2;
 /// Age, in hedge delays, at which those replicas count as silent and another one may have it.
 const TRIAL_SILENT: u32 = 8;
-/// Age, in quarters of the hedge delay, at which a trial is hedged: its hedge may cost a second
-/// replica.
-pub(super) const TRIAL_HEDGE: u32 = 5;
 /// Age of a part, in quarters of the hedge delay, from which its hedge may take the last tokens:
 /// few sub-queries that are merely slow get that old.
 const HEDGE_OVERDUE: u32 = 5;
