Keep a large table from filling a reader's link

The one shown left its daemon with 1,141 of 1,200 ms, 60 ms after its arrival, and reached the replicas 1.9 s later: it waited on the daemon's own link. A table of 1,400 routes had just come; as a reader the daemon had 58 pages of 78,708 bytes to send, 1.83 s at 20 Mbit/s.

Ruled out: the processor (the deadline sent was right, so that the daemon was quick), serialising the pages (58 times a few ms).

Change: pages are taken out of a budget of bytes, a quarter of a second's worth of the link at once and three tenths of it for long. Who gets none asks the other reader, then the store.

--- a/daemon/src/forward/forward_loop.rs
+++ b/daemon/src/forward/forward_loop.rs
@@ -10,7 +10,10 @@
 };
 
 use policy::{
-    directory::DirectoryFeed,
+    directory::{
+        DirectoryFeed,
+        PageBudget, //
+    },
     forward::{
         ForwardAction,
         ForwardEngine,
@@ -99,6 +102,7 @@
     pub(super) peers: PeerCore,
     pub(super) link: PeerLink,
     pub(super) waiting: Vec<WaitingCall>,
+    pub(super) pages: PageBudget,
     pub(super) sync_replies: HashMap<u64, oneshot::Sender<Body>>,
     pub(super) last_reply: u64,
     pub(super) index: Option<Arc<RouteIndex>>,
--- a/daemon/src/forward/forward_peers.rs
+++ b/daemon/src/forward/forward_peers.rs
@@ -156,7 +156,13 @@
             return;
         }
         let page = match self.feed.answer(now, after, asked) {
-            FeedAnswer::Page(page) => postcard::to_allocvec(&page).unwrap_or_default(),
+            FeedAnswer::Page(page) => {
+                let page = postcard::to_allocvec(&page).unwrap_or_default();
+                match self.pages.take(now, page.len()) {
+                    true => page,
+                    false => Vec::new(),
+                }
+            }
             FeedAnswer::Stale => Vec::new(),
             FeedAnswer::Wait(due) => {
                 self.waiting.push(WaitingCall {
--- a/daemon/src/forward/run_forward.rs
+++ b/daemon/src/forward/run_forward.rs
@@ -26,7 +26,8 @@
 use policy::{
     directory::{
         DirectoryFeed,
-        FeedPeer, //
+        FeedPeer,
+        PageBudget, //
     },
     forward::{
         ForwardEngine,
@@ -249,6 +250,7 @@
         peers: PeerCore::new(now, peer_settings),
         link,
         waiting: Vec::new(),
+        pages: PageBudget::new(boot.link_rate, now),
         sync_replies: Default::default(),
         last_reply: 0,
         index: None,
