Tell a crashed replica from a reset, and log a request's fingerprint

E7003 'broken' is the same for a crash, a reset and a lost reply, and two retries of a caller share no field.

Change: after a broken exchange the daemon opens a connection to the replica, which is kept for the next request. Refused means that the process has ended: E7013 and pollentally_forward_crashes_total. E7003 carries the request's fingerprint. Nothing is decided on it yet.

--- a/daemon/src/caller_port.rs
+++ b/daemon/src/caller_port.rs
@@ -1,7 +1,10 @@
 //! Accepts callers' connections and closes them gracefully.
 
 use std::{
-    net::SocketAddr,
+    net::{
+        IpAddr,
+        SocketAddr, //
+    },
     sync::{
         atomic::{
             AtomicBool,
@@ -51,6 +54,10 @@
 /// Smallest buffer that the HTTP library accepts.
 const BUFFER_MIN_BYTES: usize = 8192;
 
+/// IP address from which a request came; an extension of every request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CallerAddress(pub(crate) IpAddr);
+
 /// A listening socket that serves HTTP requests.
 #[derive(Debug)]
 pub(crate) struct CallerPort {
@@ -93,7 +100,7 @@
         accepted: std::io::Result<(TcpStream, SocketAddr)>,
         connections: &mut JoinSet<()>,
     ) {
-        let Ok((stream, _)) = accepted else {
+        let Ok((stream, address)) = accepted else {
             sleep(ACCEPT_RETRY_DELAY).await;
             return;
         };
@@ -103,6 +110,7 @@
         let idle = self.idle_timeout;
         connections.spawn_local(serve_connection(
             stream,
+            CallerAddress(address.ip()),
             routes,
             buffer_bytes,
             idle,
@@ -113,6 +121,7 @@
 
 async fn serve_connection(
     stream: TcpStream,
+    address: CallerAddress,
     routes: Router,
     buffer_bytes: usize,
     idle_timeout: Duration,
@@ -122,6 +131,7 @@
     let service = RequestMarker {
         inner: TowerToHyperService::new(routes),
         used: used.clone(),
+        address,
     };
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -151,10 +161,11 @@
         .await;
 }
 
-/// Records that a connection has carried a request.
+/// Records that a connection has carried a request, and adds the caller's address to it.
 struct RequestMarker {
     inner: TowerToHyperService<Router>,
     used: Arc<AtomicBool>,
+    address: CallerAddress,
 }
 
 impl Service<http::Request<Incoming>> for RequestMarker {
@@ -162,8 +173,9 @@
     type Error = <TowerToHyperService<Router> as Service<http::Request<Incoming>>>::Error;
     type Future = <TowerToHyperService<Router> as Service<http::Request<Incoming>>>::Future;
 
-    fn call(&self, request: http::Request<Incoming>) -> Self::Future {
+    fn call(&self, mut request: http::Request<Incoming>) -> Self::Future {
         self.used.store(true, Ordering::Relaxed);
+        request.extensions_mut().insert(self.address);
         self.inner.call(request)
     }
 }
--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -114,6 +114,9 @@
     REPLICA_RECOVERED = "E7011" Info "avoided replica replied; it gets requests again";
     /// A request was refused before any replica was chosen.
     REQUEST_REFUSED = "E7012" Info "request refused on arrival; no replica was asked";
+    /// A replica's process has ended while it ran requests.
+    REPLICA_CRASHED = "E7013" Warning
+        "replica crashed while it ran requests; counting the crash against each of them";
 }
 
 /// Logs an event of the catalogue with its code and the given fields:
--- a/daemon/src/forward/forward_log.rs
+++ b/daemon/src/forward/forward_log.rs
@@ -109,10 +109,19 @@
                 replica,
                 cause,
                 age,
+                print,
             } => log_event!(
                 logger, events::ATTEMPT_FAILED,
                 "request" => id, "query" => query.0, "service" => %service, "replica" => %replica,
-                "cause" => *cause, "age_ms" => millis(*age),
+                "cause" => *cause, "age_ms" => millis(*age), "print" => %print,
+            ),
+            LoggedEvent::ReplicaCrashed {
+                replica,
+                service,
+                requests,
+            } => log_event!(
+                logger, events::REPLICA_CRASHED,
+                "replica" => %replica, "service" => %service, "requests" => *requests,
             ),
             LoggedEvent::ReplicaListed {
                 replica,
--- a/daemon/src/forward/forward_loop.rs
+++ b/daemon/src/forward/forward_loop.rs
@@ -5,6 +5,7 @@
         BTreeSet,
         HashMap, //
     },
+    net::SocketAddr,
     sync::Arc,
     time::Duration, //
 };
@@ -19,6 +20,7 @@
         ForwardEngine,
         ForwardEvent,
         LoggedEvent,
+        ProbeOutcome,
         ReplicaKey,
         RouteIndex,
         SendCommand, //
@@ -71,7 +73,10 @@
     log_event,
     peering::PeerLink,
     serving_view::ServingView,
-    upstream_link::UpstreamLink, //
+    upstream_link::{
+        ConnectFailure,
+        UpstreamLink, //
+    }, //
 };
 
 /// Largest number of connections opened ahead of need in one interval.
@@ -154,6 +159,7 @@
                     self.idle_pool.put(now, replica, link);
                 }
             }
+            InboxEvent::Probed(replica, result) => self.end_probe(now, replica, result),
             InboxEvent::Directory(update) => self.apply_update(now, update),
             InboxEvent::SyncAnswered(Some(body)) => {
                 self.update_peers(now, PeerEvent::SyncReplied { body });
@@ -231,6 +237,7 @@
                         exchange.abort_handle.abort();
                     }
                 }
+                ForwardAction::Probe { replica, address } => self.probe(replica, address),
                 ForwardAction::CloseIdle { replica } | ForwardAction::Forget { replica } => {
                     self.idle_pool.close(replica);
                 }
@@ -259,11 +266,40 @@
             spawn_local(async move {
                 let link = UpstreamLink::connect(address, CONNECT_TIMEOUT, || ()).await;
                 // The channel is closed only when the process ends.
-                let _ = events.send(InboxEvent::Preconnected(replica, link));
+                let _ = events.send(InboxEvent::Preconnected(replica, link.ok()));
             });
         }
     }
 
+    /// Opens a connection to a replica that has broken one, to find out whether it still runs.
+    fn probe(&self, replica: ReplicaKey, address: SocketAddr) {
+        let events = self.events.clone();
+        spawn_local(async move {
+            let result = UpstreamLink::connect(address, CONNECT_TIMEOUT, || ()).await;
+            // The channel is closed only when the process ends.
+            let _ = events.send(InboxEvent::Probed(replica, result));
+        });
+    }
+
+    /// Keeps the connection of a probe for the next request, and reports the outcome.
+    fn end_probe(
+        &mut self,
+        now: TimePoint,
+        replica: ReplicaKey,
+        result: Result<UpstreamLink, ConnectFailure>,
+    ) {
+        let outcome = match result {
+            Ok(link) => {
+                self.metrics.connections_opened.inc();
+                self.idle_pool.put(now, replica, link);
+                ProbeOutcome::Accepted
+            }
+            Err(ConnectFailure::Refused) => ProbeOutcome::Refused,
+            Err(ConnectFailure::Failed) => ProbeOutcome::NoAnswer,
+        };
+        self.dispatch(now, ForwardEvent::Probed { replica, outcome });
+    }
+
     fn send(&mut self, now: TimePoint, command: SendCommand) {
         let Some(request) = self.requests.get_mut(&command.query) else {
             return;
@@ -308,6 +344,10 @@
                 self.metrics.failures.get_or_create(&label).inc();
                 Some(query)
             }
+            LoggedEvent::ReplicaCrashed { .. } => {
+                self.metrics.crashes.inc();
+                None
+            }
             _ => None,
         };
         let template = query
--- a/daemon/src/forward/forward_metrics.rs
+++ b/daemon/src/forward/forward_metrics.rs
@@ -46,6 +46,8 @@
     pub(super) extra_attempts: Family<StaticLabel, Counter>,
     /// Failed attempts by cause.
     pub(super) failures: Family<StaticLabel, Counter>,
+    /// Replicas that crashed while they ran requests of this daemon.
+    pub(super) crashes: Counter,
     /// Connections opened to replicas.
     pub(super) connections_opened: Counter,
     /// Requests in flight.
@@ -83,6 +85,7 @@
             sends: Counter::default(),
             extra_attempts: Family::default(),
             failures: Family::default(),
+            crashes: Counter::default(),
             connections_opened: Counter::default(),
             in_flight: Gauge::default(),
             idle_connections: Gauge::default(),
@@ -127,6 +130,11 @@
             "Failed attempts by cause",
             all.failures.clone(),
         );
+        registry.register(
+            "forward_crashes",
+            "Replicas that crashed while they ran requests",
+            all.crashes.clone(),
+        );
         registry.register(
             "forward_opened",
             "Connections opened to replicas",
--- a/daemon/src/forward/forward_requests.rs
+++ b/daemon/src/forward/forward_requests.rs
@@ -1,6 +1,10 @@
 //! Handling of callers' requests in the forwarding loop: arrival, replies of replicas, answers.
 
 use std::{
+    net::{
+        IpAddr,
+        Ipv4Addr, //
+    },
     rc::Rc,
     time::Duration, //
 };
@@ -21,7 +25,8 @@
     ForwardCall,
     ForwardEvent,
     RefusalReason,
-    ReplicaKey, //
+    ReplicaKey,
+    RequestIdentity, //
 };
 use schema::{
     AttemptId,
@@ -48,6 +53,7 @@
     replica_exchange::ExchangeOutcome, //
 };
 use crate::{
+    caller_port::CallerAddress,
     events,
     log_event, //
 };
@@ -88,6 +94,7 @@
         };
         let spec = &index.table.routes[route];
         let caller_timeout = time_left(&arrived.head.headers);
+        let identity = request_identity(&arrived);
         let request = PendingRequest {
             template: Rc::new(RequestTemplate::new(arrived.head, arrived.body, id)),
             route: spec.name.clone(),
@@ -104,6 +111,7 @@
             index,
             route,
             time_left: caller_timeout.map(|timeout| timeout.saturating_sub(arrived.read_time)),
+            identity,
         };
         let query = arrived.query;
         self.dispatch(now, ForwardEvent::Arrived { query, call });
@@ -262,6 +270,19 @@
     }
 }
 
+fn request_identity(arrived: &ArrivedRequest) -> RequestIdentity {
+    let head = &arrived.head;
+    let target = head.uri.path_and_query();
+    let caller = head.extensions.get::<CallerAddress>();
+    RequestIdentity::of(
+        head.method.as_str(),
+        request_host(arrived),
+        target.map_or("/", |target| target.as_str()),
+        &arrived.body,
+        caller.map_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED), |caller| caller.0),
+    )
+}
+
 fn request_host(arrived: &ArrivedRequest) -> &str {
     let host = arrived
         .head
--- a/daemon/src/forward/inbox_event.rs
+++ b/daemon/src/forward/inbox_event.rs
@@ -19,7 +19,10 @@
         StoreBatch, //
     },
 };
-use crate::upstream_link::UpstreamLink;
+use crate::upstream_link::{
+    ConnectFailure,
+    UpstreamLink, //
+};
 
 /// The result of one read of the directory.
 #[derive(Debug)]
@@ -56,6 +59,8 @@
         /// The reply or the failure.
         outcome: Box<ExchangeOutcome>,
     },
+    /// A probe of a replica ended.
+    Probed(ReplicaKey, Result<UpstreamLink, ConnectFailure>),
     /// An attempt to open a connection ahead of need ended; `None` if it failed.
     Preconnected(ReplicaKey, Option<UpstreamLink>),
     /// A read of the directory ended.
--- a/daemon/src/forward/replica_exchange.rs
+++ b/daemon/src/forward/replica_exchange.rs
@@ -74,7 +74,9 @@
     let opened = link.is_none();
     let link = match link {
         Some(link) => Some(link),
-        None => UpstreamLink::connect(address, CONNECT_TIMEOUT, || ()).await,
+        None => UpstreamLink::connect(address, CONNECT_TIMEOUT, || ())
+            .await
+            .ok(),
     };
     let Some(mut link) = link else {
         return ExchangeOutcome::failed(ForwardFailure::Unconnected, opened);
--- a/daemon/src/upstream_link.rs
+++ b/daemon/src/upstream_link.rs
@@ -1,6 +1,7 @@
 //! Connections to upstreams.
 
 use std::{
+    io,
     net::SocketAddr,
     time::Duration, //
 };
@@ -31,6 +32,24 @@
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Why a connection to an upstream could not be opened.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum ConnectFailure {
+    /// The upstream's VM runs, but nothing listens at the address.
+    Refused,
+    /// The connection could not be opened in time, or for another reason.
+    Failed,
+}
+
+impl From<io::Error> for ConnectFailure {
+    fn from(error: io::Error) -> Self {
+        match error.kind() {
+            io::ErrorKind::ConnectionRefused => Self::Refused,
+            _ => Self::Failed,
+        }
+    }
+}
+
 /// An open connection that carries one exchange at a time. Dropping it closes the socket.
 #[derive(Debug)]
 pub(crate) struct UpstreamLink {
@@ -75,17 +94,20 @@
 
 impl UpstreamLink {
     /// Opens a connection within `connect_timeout`; `on_close` is called once its socket is closed.
+    ///
+    /// # Errors
+    ///
+    /// [`ConnectFailure`] if there is no connection by then.
     pub(crate) async fn connect(
         address: SocketAddr,
         connect_timeout: Duration,
         on_close: impl FnOnce() + 'static,
-    ) -> Option<Self> {
-        let stream = timeout(connect_timeout, TcpStream::connect(address))
-            .await
-            .ok()?
-            .ok()?;
-        stream.set_nodelay(true).ok()?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    ) -> Result<Self, ConnectFailure> {
+        let connected = timeout(connect_timeout, TcpStream::connect(address)).await;
+        let stream = connected.map_err(|_| ConnectFailure::Failed)??;
+        stream.set_nodelay(true)?;
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(|_| ConnectFailure::Failed)?;
         let guard = CloseGuard {
             on_close: Some(on_close),
         };
@@ -95,9 +117,9 @@
             let _guard = guard;
             let _ = connection.await;
         });
-        Some(Self {
+        Ok(Self {
             sender,
-            host: HeaderValue::try_from(address.to_string()).ok()?,
+            host: HeaderValue::try_from(address.to_string()).map_err(|_| ConnectFailure::Failed)?,
             used: false,
             idle_since: TimePoint::default(),
             idle_limit: None,
@@ -115,8 +137,8 @@
         let _ = close_events.send(LoopEvent::LinkClosed(name));
     };
     let event = match UpstreamLink::connect(address, CONNECT_TIMEOUT, on_close).await {
-        Some(link) => LoopEvent::LinkOpened(vm, link),
-        None => LoopEvent::LinkFailed(vm),
+        Ok(link) => LoopEvent::LinkOpened(vm, link),
+        Err(_) => LoopEvent::LinkFailed(vm),
     };
     let _ = events.send(event);
 }
--- a/policy/src/forward/attempt_dispatch.rs
+++ b/policy/src/forward/attempt_dispatch.rs
@@ -181,6 +181,7 @@
             AttemptContext {
                 query: request.query,
                 part: index,
+                identity: request.identity,
                 replica: key,
                 route: request.spec().name.clone(),
                 sent_at: now,
--- a/policy/src/forward/attempt_results.rs
+++ b/policy/src/forward/attempt_results.rs
@@ -151,6 +151,9 @@
             }
         }
         self.log_failure(now, &context, failure.as_str(), actions);
+        if failure == ForwardFailure::Broken {
+            self.watch_broken_attempt(now, &context, actions);
+        }
         self.forget_if_unused(context.replica, actions);
         let Some(mut request) = self.requests.remove(&context.query) else {
             return;
@@ -205,6 +208,7 @@
             replica: record.entry.name.clone(),
             cause,
             age: now.since(context.sent_at),
+            print: context.identity.caller_print(&record.entry.service),
         }));
     }
 }
--- a/policy/src/forward/forward_action.rs
+++ b/policy/src/forward/forward_action.rs
@@ -46,6 +46,13 @@
         /// The attempt to cancel.
         attempt: AttemptId,
     },
+    /// Open a connection to a replica to find out whether its process has ended.
+    Probe {
+        /// The replica, which has broken a connection.
+        replica: ReplicaKey,
+        /// Address of the replica.
+        address: SocketAddr,
+    },
     /// Close the idle connections to a replica that has sent no reply for so long that they may be
     /// dead.
     CloseIdle {
--- a/policy/src/forward/forward_call.rs
+++ b/policy/src/forward/forward_call.rs
@@ -5,7 +5,10 @@
     time::Duration, //
 };
 
-use super::RouteIndex;
+use super::{
+    RequestIdentity,
+    RouteIndex, //
+};
 
 /// The properties of a caller's request on which forwarding decisions depend.
 #[derive(Clone, Debug)]
@@ -16,4 +19,6 @@
     pub route: usize,
     /// Time until the caller's deadline at arrival; `None` if the caller sent no deadline.
     pub time_left: Option<Duration>,
+    /// By what the request is recognised when its caller sends it again.
+    pub identity: RequestIdentity,
 }
--- a/policy/src/forward/forward_engine.rs
+++ b/policy/src/forward/forward_engine.rs
@@ -25,6 +25,7 @@
 use smallvec::SmallVec;
 
 use super::{
+    crash_probes::CrashProbes,
     pending_request::PendingRequest,
     route_state::RouteState,
     ForwardAction,
@@ -37,6 +38,7 @@
     RefusalReason,
     ReplicaKey,
     ReplicaRegistry,
+    RequestIdentity,
     RouteIndex, //
 };
 
@@ -63,6 +65,8 @@
     pub(super) query: QueryId,
     /// Index of the part within the request.
     pub(super) part: usize,
+    /// The identity of that request.
+    pub(super) identity: RequestIdentity,
     /// The replica to which the attempt was sent.
     pub(super) replica: ReplicaKey,
     /// The route whose latency statistics include the reply to this attempt.
@@ -86,6 +90,8 @@
     /// The time at which each attempt that is no longer needed is cancelled.
     pub(super) attempt_expiries: BTreeSet<(TimePoint, AttemptId)>,
     pub(super) last_attempt: u64,
+    /// Broken attempts for which a probe decides whether the replica has crashed.
+    pub(super) probes: CrashProbes,
     /// Services with queued parts in which an attempt has just ended.
     pub(super) freed_services: Vec<usize>,
 }
@@ -101,6 +107,7 @@
             request_timers: BTreeSet::new(),
             attempt_expiries: BTreeSet::new(),
             last_attempt: 0,
+            probes: CrashProbes::default(),
             freed_services: Vec::new(),
         }
     }
@@ -122,6 +129,9 @@
             ForwardEvent::Failed { attempt, failure } => {
                 self.on_failure(now, attempt, failure, actions);
             }
+            ForwardEvent::Probed { replica, outcome } => {
+                self.on_probed(now, replica, outcome, actions);
+            }
             ForwardEvent::ReplicaListed(entry) => self.list_replica(now, entry, actions),
             ForwardEvent::ReplicaUnlisted(name) => self.unlist_replica(&name, actions),
             ForwardEvent::TableApplied(index) => self.apply_table(&index),
@@ -252,7 +262,7 @@
     ) {
         let index = Arc::clone(&call.index);
         let spec = &index.table.routes[call.route];
-        let mut request = PendingRequest::new(query, call.index, call.route, now);
+        let mut request = PendingRequest::new(query, call.index, call.route, call.identity, now);
         let state = self.routes.entry(spec.name.clone()).or_default();
         let elapsed = state.elapsed(call.time_left);
         let time_left = call.time_left.unwrap_or(spec.timeout);
--- a/policy/src/forward/forward_event.rs
+++ b/policy/src/forward/forward_event.rs
@@ -13,6 +13,8 @@
     ForwardCall,
     ForwardFailure,
     ForwardReply,
+    ProbeOutcome,
+    ReplicaKey,
     RouteIndex, //
 };
 
@@ -45,6 +47,13 @@
         /// How the attempt failed.
         failure: ForwardFailure,
     },
+    /// A probe of a replica ended.
+    Probed {
+        /// The replica that was probed.
+        replica: ReplicaKey,
+        /// What the probe has shown.
+        outcome: ProbeOutcome,
+    },
     /// A replica was added to the directory, or its entry changed.
     ReplicaListed(ReplicaEntry),
     /// A replica was removed from the directory.
--- a/policy/src/forward/logged_event.rs
+++ b/policy/src/forward/logged_event.rs
@@ -4,6 +4,7 @@
 
 use schema::{
     QueryId,
+    QueryPrint,
     ReplicaName,
     ServiceName, //
 };
@@ -38,6 +39,17 @@
         cause: &'static str,
         /// Time since the attempt was sent.
         age: Duration,
+        /// Fingerprint of the request, its caller and the service.
+        print: QueryPrint,
+    },
+    /// A replica crashed while requests ran on it.
+    ReplicaCrashed {
+        /// The replica that crashed.
+        replica: ReplicaName,
+        /// The service to which the replica belongs.
+        service: ServiceName,
+        /// Number of requests of this daemon that ran on it.
+        requests: usize,
     },
     /// A replica was added to the directory, was listed again, or started or stopped draining.
     ReplicaListed {
--- a/policy/src/forward/mod.rs
+++ b/policy/src/forward/mod.rs
@@ -12,6 +12,8 @@
 
 mod attempt_dispatch;
 mod attempt_results;
+mod crash_evidence;
+mod crash_probes;
 mod forward_action;
 mod forward_answer;
 mod forward_call;
@@ -25,10 +27,12 @@
 mod logged_event;
 mod part_queue;
 mod pending_request;
+mod probe_outcome;
 mod record_merge;
 mod replica_record;
 mod replica_registry;
 mod request_completion;
+mod request_identity;
 mod request_part;
 mod retry_budget;
 mod route_index;
@@ -57,6 +61,7 @@
     PartQueue,
     QueuedPart, //
 };
+pub use probe_outcome::ProbeOutcome;
 pub use record_merge::{
     merge_records,
     RECORD_BYTES, //
@@ -66,6 +71,7 @@
     PickOutcome,
     ReplicaRegistry, //
 };
+pub use request_identity::RequestIdentity;
 pub use retry_budget::RetryBudget;
 pub use route_index::RouteIndex;
 pub use weighted_balancer::WeightedBalancer;
--- a/policy/src/forward/pending_request.rs
+++ b/policy/src/forward/pending_request.rs
@@ -17,6 +17,7 @@
         PartState,
         RequestPart, //
     },
+    RequestIdentity,
     RouteIndex, //
 };
 
@@ -29,6 +30,8 @@
     index: Arc<RouteIndex>,
     /// Index of the request's route in the table.
     pub(super) route: usize,
+    /// By what the request is recognised when its caller sends it again.
+    pub(super) identity: RequestIdentity,
     /// When the request arrived.
     pub(super) arrived: TimePoint,
     /// When the request is answered without its open parts, if enough parts are done: the latency
@@ -52,12 +55,14 @@
         query: QueryId,
         index: Arc<RouteIndex>,
         route: usize,
+        identity: RequestIdentity,
         now: TimePoint,
     ) -> Self {
         Self {
             query,
             index,
             route,
+            identity,
             arrived: now,
             goal_at: TimePoint::NEVER,
             answer_by: now,
--- a/policy/tests/forward_kit/mod.rs
+++ b/policy/tests/forward_kit/mod.rs
@@ -20,6 +20,7 @@
     ForwardFailure,
     ForwardReply,
     ForwardSettings,
+    RequestIdentity,
     RouteIndex,
     SendCommand, //
 };
@@ -280,6 +281,7 @@
             index: self.index.clone(),
             route,
             time_left: Some(time_left),
+            identity: RequestIdentity::default(),
         };
         self.notify_engine(daemon, ForwardEvent::Arrived { query, call });
         query
