Keep the crash of a rack from refusing a harmless request; tests of the limits

Cause: in a real-process run a data centre crashes while 18 callers send one request; in 6 requests both attempts broke within a millisecond, which are two crashes one after the other. A third, by another request of the same content in the same moment, would have refused it for a minute.

Change: the crash that makes a request refused must be of a run that began 500 ms after the first one. The log is written by a thread, so a test waits for its line.

--- a/daemon/tests/forward_crashes.rs
+++ b/daemon/tests/forward_crashes.rs
@@ -5,7 +5,10 @@
 mod forward_cluster;
 
 use std::{
-    collections::BTreeSet,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     net::Ipv4Addr,
     sync::{
         atomic::{
@@ -31,6 +34,7 @@
     ForwardCluster, //
 };
 use platform_standin::{
+    call,
     call_from,
     CallerReply,
     FakeReplica,
@@ -185,6 +189,11 @@
     let seconds: f64 = last.header("retry-after").parse().unwrap();
     assert_eq!(last.status, 503, "{last:?}");
     assert!(seconds > 1.0, "{last:?}");
+    for log in &run.logs {
+        assert!(log.contains("E7017"), "{log}");
+        assert!(log.contains("\"result\":\"quarantined\""), "{log}");
+    }
+    assert!(run.logs.iter().any(|log| log.contains("E7015")));
 }
 
 /// Guards against retries without limit of a request that crashes its replicas (issue 19, BUDGET).
@@ -223,3 +232,100 @@
     assert_stopped(&run);
     assert_eq!(run.served, run.sent, "harmless requests must be served");
 }
+
+/// Guards against harmless requests that are refused because a data centre crashes while they run:
+/// all have the same path, host, body and caller, and are sent to all daemons.
+#[test]
+fn harmless_requests_are_served_on_while_a_data_centre_crashes() {
+    let mut cluster = ForwardCluster::start(&[RouteText::single("/one/", "s1")]);
+    let zones = ["z1", "z1", "z1", "z2", "z2", "z2"];
+    let mut fleet = ReplicaFleet::start(&cluster.store, "s1", &zones);
+    // At any moment, some requests run on every replica.
+    fleet.set_fault(ReplicaFault::Slow(Duration::from_millis(20)));
+    let daemons = ["z1", "z1", "z2"].map(|zone| cluster.ready_daemon(zone));
+    let stop = Arc::new(AtomicBool::new(false));
+    let mut callers = Vec::new();
+    for number in 0..18 {
+        let address = daemons[number % 3].callers();
+        let stop = Arc::clone(&stop);
+        callers.push(thread::spawn(move || {
+            let mut statuses = Vec::new();
+            while !stop.load(Ordering::Relaxed) {
+                let id = format!("ok-{number}-{}", statuses.len());
+                let timeout = Duration::from_secs(2);
+                let send = |id: &str| call(address, "POST /one/same", id, timeout, b"same").status;
+                // Both attempts that the route allows may hit the crash; a caller then tries again.
+                statuses.push(match send(&id) {
+                    502 => send(&format!("{id}-again")),
+                    status => status,
+                });
+                sleep(Duration::from_millis(2));
+            }
+            statuses
+        }));
+    }
+    for zone in ["z1", "z2", "z1", "z2"] {
+        sleep(Duration::from_secs(1));
+        fleet.crash_zone(zone);
+        let end = Instant::now() + Duration::from_secs(3);
+        while Instant::now() < end {
+            fleet.restart_crashed(&cluster.store);
+            sleep(Duration::from_millis(5));
+        }
+    }
+    stop.store(true, Ordering::Relaxed);
+    let statuses = callers
+        .into_iter()
+        .flat_map(|caller| caller.join().unwrap());
+    let mut counts: BTreeMap<u16, u32> = BTreeMap::new();
+    for status in statuses {
+        *counts.entry(status).or_default() += 1;
+    }
+    let logs: Vec<String> = daemons.iter().map(DaemonProcess::log).collect();
+    let crashes: usize = logs.iter().map(|log| log.matches("E7013").count()).sum();
+    assert!(crashes > 0, "no request ran on a replica that crashed");
+    assert!(logs.iter().all(|log| !log.contains("E7015")), "{logs:?}");
+    assert_eq!(counts.keys().collect::<Vec<_>>(), [&200], "{counts:?}");
+}
+
+/// Guards against a daemon that does not know what crashed before: one restarts, one joins late and
+/// one was frozen while the others saw the crashes. All refuse the request at once.
+#[test]
+fn daemons_that_restart_join_late_or_were_frozen_refuse_at_once() {
+    let mut cluster = ForwardCluster::start(&[RouteText::single("/one/", "s1")]);
+    let fleet = ReplicaFleet::start(&cluster.store, "s1", &["z1", "z1", "z1", "z2", "z2", "z2"]);
+    let mut daemons = ["z1", "z1", "z2"].map(|zone| cluster.ready_daemon(zone));
+    wait_for("all daemons know each other", || {
+        let knows_all = |metrics: String| metrics.contains("forward_daemons 3");
+        daemons.iter().all(|daemon| knows_all(daemon.metrics()))
+    });
+    daemons[2].signal("STOP");
+    let path = "/one/crashes-replicas";
+    wait_for("the request is refused", || {
+        let id = format!("id-{}", fleet.crashing_runs().len());
+        get(&daemons[0], path, &id).status != 0 && daemons[0].log().contains("E7015")
+    });
+    daemons[2].signal("CONT");
+    let crashed = fleet.runs_of_crashed();
+    let restarted = daemons[1].ip[3];
+    daemons[1].signal("KILL");
+    daemons[1].wait();
+    daemons[1] = cluster.spawn_as(restarted, "z1");
+    let late = cluster.ready_daemon("z2");
+    wait_for("the restarted daemon is ready", || daemons[1].is_ready());
+    sleep(SETTLE_PERIOD);
+    for daemon in daemons.iter().chain([&late]) {
+        let reply = get(daemon, path, "later");
+        assert_eq!(reply.status, 503, "{reply:?}\n{}", daemon.log());
+        // The log is written by a thread of its own.
+        wait_for("the refusal is logged", || {
+            let log = daemon.log();
+            let mut lines = log.lines();
+            lines.any(|line| {
+                let fields = ["E7001", "later", "\"sends\":0", "quarantined"];
+                fields.iter().all(|field| line.contains(field))
+            })
+        });
+    }
+    assert_eq!(fleet.runs_of_crashed(), crashed, "no replica may run it");
+}
--- a/policy/src/forward/crash_table.rs
+++ b/policy/src/forward/crash_table.rs
@@ -3,8 +3,10 @@
 //! Crashes are counted by fingerprint of the request and service: once with the caller, and once
 //! for all callers together. A crash counts if the request was sent to the replica after the
 //! previous crash that counted was seen. Crashes that are seen together, such as those of a rack or
-//! of several shards of one query, may have one cause and count as one. A success of the request on
-//! a replica of the service shows that it does not crash each of them, and takes all crashes back.
+//! of several shards of one query, may have one cause and count as one. The crash that makes a
+//! request refused must also be of a run that began some time after the first one, since the
+//! replicas of a rack may crash one after the other. A success of the request on a replica of the
+//! service shows that it does not crash each of them, and takes all crashes back.
 //!
 //! For all callers together, a crash counts only if another caller's request crashed a replica
 //! before. A caller whose request crashes replicas therefore has no effect on harmless requests
@@ -29,6 +31,8 @@
 
 /// Crashes from which a request is refused.
 const REFUSAL_CRASHES: u32 = 3;
+/// Crashes within this time of the first one do not make a request refused.
+const BURST_PERIOD: Duration = Duration::from_millis(500);
 /// Time for which a request is refused after the third, the fourth, and each further crash. At the
 /// end of each period one request is let through; the platform allows few of them.
 const REFUSAL_PERIODS: [Duration; 3] = [
@@ -85,6 +89,8 @@
 #[derive(Clone, Debug)]
 struct CrashRecord {
     notice: CrashNotice,
+    /// When this daemon saw the first crash that counts, or learned of it.
+    first_crash_at: TimePoint,
     /// When this daemon saw the last crash that counted, or learned of it.
     last_crash_at: TimePoint,
     /// When the notice is reported to other daemons; `NEVER` if they have it.
@@ -187,6 +193,7 @@
                 refused_until: TimePoint::default(),
                 expires_at: now + EVIDENCE_PERIOD,
             },
+            first_crash_at: crash.broke_at,
             last_crash_at: TimePoint::default(),
             report_at: TimePoint::NEVER,
             shared: false,
@@ -196,6 +203,13 @@
         if crash.sent_at < record.last_crash_at || (same_caller && notice.evidence() > 0) {
             return None;
         }
+        let in_burst = crash.sent_at < record.first_crash_at + BURST_PERIOD;
+        if in_burst && notice.evidence() + 1 >= REFUSAL_CRASHES {
+            return None;
+        }
+        if notice.evidence() == 0 {
+            record.first_crash_at = crash.broke_at;
+        }
         notice.crashes += 1;
         notice.caller = crash.caller;
         notice.replicas.insert(0, crash.replica.clone());
@@ -251,6 +265,7 @@
         let Some(record) = self.records.get_mut(&print) else {
             let record = CrashRecord {
                 notice,
+                first_crash_at: now,
                 last_crash_at: now,
                 report_at: now,
                 shared: true,
--- a/policy/tests/peers_kit/mod.rs
+++ b/policy/tests/peers_kit/mod.rs
@@ -252,8 +252,6 @@
                 let delay = self.delay(node, to);
                 self.schedule(now + delay, NetStep::Event(to, generation, event));
             }
-            // The network has no engine that counts crashes.
-            PeerAction::CrashReceived { .. } => {}
             PeerAction::FetchBundle { from, .. } => {
                 let from = node_of(from);
                 // Opening a connection and fetching the bundle take two round trips.
@@ -266,7 +264,9 @@
                     .push((now, daemon.to_string()));
             }
             PeerAction::MembersChanged => {}
-            note @ (PeerAction::DrainReceived { .. } | PeerAction::QuarantineReceived { .. }) => {
+            note @ (PeerAction::DrainReceived { .. }
+            | PeerAction::QuarantineReceived { .. }
+            | PeerAction::CrashReceived { .. }) => {
                 self.nodes[node].received_notes.push((now, note));
             }
         }
