Bound a reply that never ends in size, alone and all together

Callers and the VM saw (own tests, which failed before): a replica that sends responses with status 100 without end brought 850 MB in one request, and endless bodies of 16 replicas took 431 MB of a VM that has 160 MB or more.

Cause: the HTTP library limits a head in its buffer, but not informational responses and not the sum over connections; a body may have 8 MB on each.

Change: MeteredStream counts the bytes that a connection brings for one reply and fails the read beyond 128 KB for the head, and beyond the body's limit and as much again for its framing. ReplyBudget holds 32 MB for all replies that are not complete; a reply may take half of what is free, so that large ones fail first. Such replies count as garbled, not as broken, so they are no crash. In time a reply stays bounded by the deadline, at which the engine cancels the attempt. The product's own interface has the meter too.

--- a/daemon/src/exchange.rs
+++ b/daemon/src/exchange.rs
@@ -65,7 +65,7 @@
 
 /// Sends the request on `link` and checks the reply.
 pub(crate) async fn run_exchange(mut link: UpstreamLink, call: ExchangeCall) -> ExchangeOutcome {
-    link.used = true;
+    link.start_exchange();
     let failed = |failure: AttemptFailure| ExchangeOutcome {
         result: Err(failure.into()),
         link: None,
@@ -84,6 +84,7 @@
     if status != StatusCode::OK && status != StatusCode::SERVICE_UNAVAILABLE {
         return failed(AttemptFailure::BadReply);
     }
+    link.allow_body(call.reply_max_bytes);
     let Some(body) = read_body(response.into_body(), call.reply_max_bytes).await else {
         return failed(AttemptFailure::BadReply);
     };
--- a/daemon/src/forward/forward_loop.rs
+++ b/daemon/src/forward/forward_loop.rs
@@ -58,8 +58,10 @@
     pending_request::PendingRequest,
     replica_exchange::{
         run_exchange,
+        ExchangeCall,
         CONNECT_TIMEOUT, //
     },
+    reply_budget::ReplyBudget,
     store_reader::StoreReader, //
 };
 use crate::{
@@ -121,6 +123,8 @@
     pub(super) requests: HashMap<QueryId, PendingRequest>,
     pub(super) exchanges: HashMap<AttemptId, RunningExchange>,
     pub(super) idle_pool: IdlePool,
+    /// Memory for replies that are not complete.
+    pub(super) reply_budget: ReplyBudget,
     /// Replicas to which a connection is being opened ahead of need.
     pub(super) preconnecting: BTreeSet<ReplicaKey>,
     pub(super) log: ForwardLog,
@@ -312,14 +316,18 @@
             request.last_replica = Some(command.name.clone());
         }
         self.metrics.sends.inc();
-        let outgoing = request.template.build(&command, now);
-        let id = request.template.id.clone();
+        let call = ExchangeCall {
+            address: command.address,
+            request: request.template.build(&command, now),
+            id: request.template.id.clone(),
+            budget: self.reply_budget.clone(),
+        };
         let link = self.idle_pool.take(now, command.replica);
         let events = self.events.clone();
         let (attempt, query) = (command.attempt, command.query);
-        let (replica, address) = (command.replica, command.address);
+        let replica = command.replica;
         let task = spawn_local(async move {
-            let outcome = run_exchange(link, address, outgoing, id).await;
+            let outcome = run_exchange(link, call).await;
             // The channel is closed only when the process ends.
             let _ = events.send(InboxEvent::ExchangeEnded {
                 attempt,
--- a/daemon/src/forward/mod.rs
+++ b/daemon/src/forward/mod.rs
@@ -14,6 +14,7 @@
 mod inbox_event;
 mod pending_request;
 mod replica_exchange;
+mod reply_budget;
 mod request_handler;
 mod run_forward;
 mod store_reader;
--- a/daemon/src/forward/replica_exchange.rs
+++ b/daemon/src/forward/replica_exchange.rs
@@ -5,7 +5,10 @@
     time::Duration, //
 };
 
-use bytes::Bytes;
+use bytes::{
+    Bytes,
+    BytesMut, //
+};
 use http::{
     header,
     response,
@@ -14,15 +17,16 @@
 };
 use http_body_util::{
     BodyExt,
-    Full,
-    Limited, //
+    Full, //
 };
+use hyper::body::Incoming;
 use platform::ReplyHeaders;
 use policy::forward::{
     ForwardFailure,
     ForwardReply, //
 };
 
+use super::reply_budget::ReplyBudget;
 use crate::upstream_link::UpstreamLink;
 
 /// Longest time to open a connection; several round trips to the farthest data centre.
@@ -63,15 +67,33 @@
     }
 }
 
-/// Sends `request` on `link`, or on a new connection to `address`, and reads the reply. A reply
-/// with another id than the request's `id` counts as garbled.
+/// A request to a replica and the limits on its reply.
+#[derive(Debug)]
+pub(super) struct ExchangeCall {
+    /// Address of the replica, for a new connection.
+    pub(super) address: SocketAddr,
+    /// What is sent.
+    pub(super) request: Request<Full<Bytes>>,
+    /// The id that the reply has to repeat, if it has one.
+    pub(super) id: HeaderValue,
+    /// Memory for replies that are not complete.
+    pub(super) budget: ReplyBudget,
+}
+
+/// Sends a request on `link`, or on a new connection, and reads the reply. A reply that is too large
+/// or has another id counts as garbled. The engine cancels the exchange at its deadline, which
+/// bounds a reply that goes on slowly without an end.
 pub(super) async fn run_exchange(
     link: Option<UpstreamLink>,
-    address: SocketAddr,
-    request: Request<Full<Bytes>>,
-    id: HeaderValue,
+    call: ExchangeCall,
 ) -> ExchangeOutcome {
     let opened = link.is_none();
+    let ExchangeCall {
+        address,
+        request,
+        id,
+        budget,
+    } = call;
     let link = match link {
         Some(link) => Some(link),
         None => UpstreamLink::connect(address, CONNECT_TIMEOUT, || ())
@@ -81,14 +103,14 @@
     let Some(mut link) = link else {
         return ExchangeOutcome::failed(ForwardFailure::Unconnected, opened);
     };
-    link.used = true;
+    link.start_exchange();
     let response = match link.sender.send_request(request).await {
         Ok(response) => response,
         // The connection was closed before the request was written to it.
         Err(error) if error.is_canceled() => {
             return ExchangeOutcome::failed(ForwardFailure::Unconnected, opened);
         }
-        Err(error) if error.is_parse() => {
+        Err(error) if error.is_parse() || link.is_overrun() => {
             return ExchangeOutcome::failed(ForwardFailure::Garbled, opened);
         }
         Err(_) => return ExchangeOutcome::failed(ForwardFailure::Broken, opened),
@@ -98,10 +120,14 @@
         Ok(marks) => marks,
         Err(_) => return ExchangeOutcome::failed(ForwardFailure::Garbled, opened),
     };
-    let Ok(body) = Limited::new(body, MAX_REPLY_BYTES).collect().await else {
-        return ExchangeOutcome::failed(ForwardFailure::Broken, opened);
+    link.allow_body(MAX_REPLY_BYTES);
+    let body = match read_body(body, &budget).await {
+        Ok(body) => body,
+        Err(_) if link.is_overrun() => {
+            return ExchangeOutcome::failed(ForwardFailure::Garbled, opened);
+        }
+        Err(failure) => return ExchangeOutcome::failed(failure, opened),
     };
-    let body = body.to_bytes();
     let connection = head.headers.get(header::CONNECTION);
     let closes = connection.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
     link.idle_limit = idle_limit(&head);
@@ -119,6 +145,24 @@
     }
 }
 
+/// Reads a whole body. It fails as broken if the connection ends before, and as garbled if the body
+/// is larger than [`MAX_REPLY_BYTES`] or than the budget allows.
+async fn read_body(mut body: Incoming, budget: &ReplyBudget) -> Result<Bytes, ForwardFailure> {
+    let mut account = budget.start_reply();
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| ForwardFailure::Broken)?.into_data() else {
+            continue;
+        };
+        let fits = bytes.len() + data.len() <= MAX_REPLY_BYTES;
+        if !fits || !account.try_take(data.len()) {
+            return Err(ForwardFailure::Garbled);
+        }
+        bytes.extend_from_slice(&data);
+    }
+    Ok(bytes.freeze())
+}
+
 /// How long an idle connection may be used again: less than the time after which the replica closes
 /// it, so that a request in transit does not meet a closed connection.
 fn idle_limit(head: &response::Parts) -> Option<Duration> {
--- /dev/null
+++ b/daemon/src/forward/reply_budget.rs
@@ -0,0 +1,65 @@
+//! Limits the memory for replies of replicas that are not complete.
+
+use std::{
+    cell::Cell,
+    rc::Rc, //
+};
+
+/// Bytes of incomplete replies that a daemon holds at most: a fifth of the memory of the smallest
+/// VMs.
+const INCOMPLETE_BYTES_MAX: usize = 32 * 1024 * 1024;
+/// An incomplete reply may take one part of this many of the bytes that are still free, so that
+/// replies without an end fail before they leave no room for others.
+const FREE_DIVISOR: usize = 2;
+
+/// The free bytes, shared by all exchanges of a daemon.
+#[derive(Clone, Debug)]
+pub(super) struct ReplyBudget {
+    free_bytes: Rc<Cell<usize>>,
+}
+
+impl Default for ReplyBudget {
+    fn default() -> Self {
+        Self {
+            free_bytes: Rc::new(Cell::new(INCOMPLETE_BYTES_MAX)),
+        }
+    }
+}
+
+impl ReplyBudget {
+    /// Starts the account of one reply.
+    pub(super) fn start_reply(&self) -> ReplyAccount {
+        ReplyAccount {
+            budget: self.clone(),
+            held_bytes: 0,
+        }
+    }
+}
+
+/// The bytes that one reply holds. Dropping it frees them.
+#[derive(Debug)]
+pub(super) struct ReplyAccount {
+    budget: ReplyBudget,
+    held_bytes: usize,
+}
+
+impl ReplyAccount {
+    /// Takes `bytes` more; returns false if the reply is too large for what is free.
+    pub(super) fn try_take(&mut self, bytes: usize) -> bool {
+        let free = self.budget.free_bytes.get();
+        let held = self.held_bytes + bytes;
+        if bytes > free || held > (free - bytes) / FREE_DIVISOR {
+            return false;
+        }
+        self.budget.free_bytes.set(free - bytes);
+        self.held_bytes = held;
+        true
+    }
+}
+
+impl Drop for ReplyAccount {
+    fn drop(&mut self) {
+        let free = self.budget.free_bytes.get();
+        self.budget.free_bytes.set(free + self.held_bytes);
+    }
+}
--- a/daemon/src/forward/run_forward.rs
+++ b/daemon/src/forward/run_forward.rs
@@ -259,6 +259,7 @@
         requests: Default::default(),
         exchanges: Default::default(),
         idle_pool: IdlePool::default(),
+        reply_budget: Default::default(),
         preconnecting: Default::default(),
         log: ForwardLog::new(log, metrics.clone(), now),
         metrics,
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -32,6 +32,7 @@
 mod loop_peers;
 mod loop_status;
 mod loop_store;
+mod metered_stream;
 mod metrics;
 mod peer_entry;
 pub mod peering;
--- a/daemon/src/upstream_link.rs
+++ b/daemon/src/upstream_link.rs
@@ -28,9 +28,20 @@
     time::timeout, //
 };
 
-use crate::loop_event::LoopEvent;
+use crate::{
+    loop_event::LoopEvent,
+    metered_stream::{
+        MeteredStream,
+        ReadAllowance, //
+    }, //
+};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Largest head of a reply, and largest part of a reply that is read ahead, in bytes.
+const READ_BUFFER_BYTES: usize = 64 * 1024;
+/// Bytes that may be read for a reply before its head is complete. Some of its body may be among
+/// them, and informational responses.
+const HEAD_ALLOWANCE_BYTES: usize = 2 * READ_BUFFER_BYTES;
 
 /// Why a connection to an upstream could not be opened.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -63,10 +74,27 @@
     pub(crate) idle_since: TimePoint,
     /// How long the connection may be idle, where the upstream announces a limit.
     pub(crate) idle_limit: Option<Duration>,
+    allowance: ReadAllowance,
     connection_task: AbortHandle,
 }
 
 impl UpstreamLink {
+    /// Marks the connection as used, and allows the bytes of the head of the next reply.
+    pub(crate) fn start_exchange(&mut self) {
+        self.used = true;
+        self.allowance.set(HEAD_ALLOWANCE_BYTES);
+    }
+
+    /// Allows the bytes of a body of at most `max_bytes`, with as many bytes for its framing.
+    pub(crate) fn allow_body(&self, max_bytes: usize) {
+        self.allowance.set(HEAD_ALLOWANCE_BYTES + 2 * max_bytes);
+    }
+
+    /// Whether the reply was broken off because more bytes came than are allowed.
+    pub(crate) fn is_overrun(&self) -> bool {
+        self.allowance.is_used_up()
+    }
+
     /// Returns whether an exchange may start on the connection.
     pub(crate) fn is_usable(&self) -> bool {
         !self.sender.is_closed() && self.sender.is_ready()
@@ -106,7 +134,12 @@
         let connected = timeout(connect_timeout, TcpStream::connect(address)).await;
         let stream = connected.map_err(|_| ConnectFailure::Failed)??;
         stream.set_nodelay(true)?;
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let allowance = ReadAllowance::default();
+        let stream = MeteredStream::new(stream, allowance.clone());
+        let handshake = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await;
         let (sender, connection) = handshake.map_err(|_| ConnectFailure::Failed)?;
         let guard = CloseGuard {
             on_close: Some(on_close),
@@ -123,6 +156,7 @@
             used: false,
             idle_since: TimePoint::default(),
             idle_limit: None,
+            allowance,
             connection_task: connection_task.abort_handle(),
         })
     }
--- a/daemon/tests/forward_cluster/mod.rs
+++ b/daemon/tests/forward_cluster/mod.rs
@@ -100,6 +100,15 @@
         reply.status == 200
     }
 
+    /// Largest memory that the process has had, in bytes.
+    pub(crate) fn peak_memory(&self) -> usize {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).unwrap();
+        let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+        let kilobytes = line.unwrap().split_whitespace().nth(1).unwrap();
+        kilobytes.parse::<usize>().unwrap() * 1024
+    }
+
     /// Sends the signal `name`, such as `TERM`.
     pub(crate) fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
