Explain a refusal by the crashes behind it

Change: for a request that was stopped (E7017), explain shows the crashes counted under its fingerprint by all daemons, also those of earlier request ids.

--- a/cli/src/cmd/explain.rs
+++ b/cli/src/cmd/explain.rs
@@ -31,12 +31,19 @@
 
 const HELP: &str = "Show what happened to one request, from the logs of the daemons";
 const HELP_NOTE: &str =
-    "The lines of all files are sorted by time. Lines that are not JSON log lines are skipped \
-    and counted.";
+    "The lines of all files are sorted by time. For a request that was stopped because it crashed \
+    replicas, the lines about these crashes are shown too. Lines that are not JSON log lines are \
+    skipped and counted.";
 
 /// Fields that are not printed as `name=value`: shown elsewhere in the line, or redundant.
 const OMITTED_FIELDS: [&str; 6] = ["time_us", "event", "message", "level", "request", "query"];
 
+/// Event of a request that is not sent to a replica because it crashed several.
+const REQUEST_STOPPED: &str = "E7017";
+/// Events that are the evidence for it: a crash was counted, the request was quarantined, or another
+/// daemon reported crashes.
+const CRASH_EVENTS: [&str; 3] = ["E7014", "E7015", "E7016"];
+
 /// Parsed arguments of `explain`.
 #[derive(Clone, Debug)]
 pub(crate) struct ExplainArgs {
@@ -57,7 +64,8 @@
         .footer(EXIT_CODES_HELP)
 }
 
-/// Prints the log lines of one request, and lines about its replicas from the same time.
+/// Prints the log lines of one request, lines about its replicas from the same time, and the crashes
+/// for which it was stopped.
 pub(crate) fn run(args: &ExplainArgs) -> Result<(), CliError> {
     let mut lines: Vec<LogLine> = Vec::new();
     let mut skipped = 0;
@@ -73,8 +81,13 @@
     }
     lines.sort_by_key(|line| line.time_us);
     let request_lines = lines_of_request(&lines, &args.id);
+    let of_request = |line: &&&LogLine| line.text_field("request") == args.id;
+    let start_us = request_lines
+        .iter()
+        .find(of_request)
+        .map_or(0, |line| line.time_us);
     for line in &request_lines {
-        print_line(&line.format_line(request_lines[0].time_us))?;
+        print_line(&line.format_line(start_us))?;
     }
     if request_lines.is_empty() {
         print_line(&format!(
@@ -114,7 +127,8 @@
     }
 
     fn format_line(&self, start_us: u64) -> String {
-        let elapsed_ms = self.time_us.saturating_sub(start_us) as f64 / 1000.0;
+        // Crashes of earlier requests come before the start.
+        let elapsed_ms = (self.time_us as f64 - start_us as f64) / 1000.0;
         let (event, message) = (self.text_field("event"), self.text_field("message"));
         let mut text = format!("{elapsed_ms:>9.1} ms  {}  {event} {message}", self.source);
         let sorted_fields: BTreeMap<&String, &Value> = self.fields.iter().collect();
@@ -131,8 +145,9 @@
     }
 }
 
-/// Returns the lines of a request, and those without a request id that the same daemon logged about
-/// its replicas between the first and the last of them.
+/// Returns the lines of a request, those without a request id that the same daemon logged about its
+/// replicas between the first and the last of them, and those of all daemons about the crashes for
+/// which it was stopped.
 fn lines_of_request<'a>(lines: &'a [LogLine], id: &str) -> Vec<&'a LogLine> {
     let of_request = |line: &&LogLine| line.text_field("request") == id;
     let Some(first) = lines.iter().find(of_request) else {
@@ -148,10 +163,17 @@
         .map(|line| (line.source.as_str(), line.text_field("replica")))
         .filter(|(_, replica)| !replica.is_empty())
         .collect();
+    let stopped = lines
+        .iter()
+        .filter(of_request)
+        .filter(|line| line.text_field("event") == REQUEST_STOPPED);
+    let prints: Vec<&str> = stopped.map(|line| line.text_field("print")).collect();
     let related = |line: &&LogLine| {
         let in_period = (first.time_us..=last_us).contains(&line.time_us);
         let replica = (line.source.as_str(), line.text_field("replica"));
+        let is_crash = CRASH_EVENTS.contains(&line.text_field("event"));
         of_request(line)
+            || (is_crash && prints.contains(&line.text_field("print")))
             || (in_period && line.text_field("request").is_empty() && replicas.contains(&replica))
     };
     lines.iter().filter(related).collect()
--- a/cli/tests/explain.rs
+++ b/cli/tests/explain.rs
@@ -32,6 +32,38 @@
     assert_eq!(out, expected);
 }
 
+/// A request that was refused because of the crashes of earlier ones, at two daemons, and a crash
+/// under another request.
+const CRASH_LOGS: [&str; 2] = [
+    r#"{"message":"crash counted","level":"WARNING","time_us":1000000,"crashes":1,"print":"c6","replica":"i-1","service":"s1","query":1,"request":"first","event":"E7014"}
+{"message":"crash counted","level":"WARNING","time_us":1200000,"crashes":1,"print":"77","replica":"i-1","service":"s1","query":2,"request":"another","event":"E7014"}
+{"message":"crash counted","level":"WARNING","time_us":1500000,"crashes":2,"print":"c6","replica":"i-2","service":"s1","query":3,"request":"","event":"E7014"}
+"#,
+    r#"{"message":"reported","level":"WARNING","time_us":1600000,"replicas":"i-2,i-1","crashes":2,"print":"c6","event":"E7016"}
+{"message":"crash counted","level":"WARNING","time_us":2000000,"crashes":3,"print":"c6","replica":"i-3","service":"s1","query":9,"request":"second","event":"E7014"}
+{"message":"quarantined","level":"ERROR","time_us":2000000,"period_ms":60000.0,"crashes":3,"print":"c6","service":"s1","event":"E7015"}
+{"message":"not sent","level":"WARNING","time_us":3000000,"retry_after_ms":59000.0,"replicas":"i-3,i-2,i-1","crashes":3,"print":"c6","service":"s1","query":10,"request":"third","event":"E7017"}
+{"message":"request ended","level":"INFO","time_us":3000100,"result":"quarantined","sends":0,"request":"third","event":"E7001"}
+"#,
+];
+
+#[test]
+fn shows_the_crashes_for_which_a_request_was_refused() {
+    let dir = WorkDir::new();
+    dir.write("one.log", CRASH_LOGS[0]);
+    dir.write("two.log", CRASH_LOGS[1]);
+    let out = dir.run_ok(&["explain", "third", "one.log", "two.log"]);
+    let expected = "  \
+        -2000.0 ms  one  E7014 crash counted  crashes=1  print=c6  replica=i-1  service=s1\n  \
+        -1500.0 ms  one  E7014 crash counted  crashes=2  print=c6  replica=i-2  service=s1\n  \
+        -1400.0 ms  two  E7016 reported  crashes=2  print=c6  replicas=i-2,i-1\n  \
+        -1000.0 ms  two  E7014 crash counted  crashes=3  print=c6  replica=i-3  service=s1\n  \
+        -1000.0 ms  two  E7015 quarantined  crashes=3  period_ms=60000.0  print=c6  service=s1\n      \
+        0.0 ms  two  E7017 not sent  crashes=3  print=c6  replicas=i-3,i-2,i-1  retry_after_ms=59000.0  service=s1\n      \
+        0.1 ms  two  E7001 request ended  result=quarantined  sends=0\n";
+    assert_eq!(out, expected);
+}
+
 #[test]
 fn unknown_request_id() {
     let dir = WorkDir::new();
