Let the soak run a request that crashes its replicas

Change: a caller sends such a request every 250 ms all through the faults; after they are cleared and the settle period is over, at most three of its retries may reach replicas, and none that was answered 503.

--- a/daemon/tests/forward_soak.rs
+++ b/daemon/tests/forward_soak.rs
@@ -42,6 +42,7 @@
     LinkFault,
     LinkProxy,
     ReplicaFault,
+    ReplicaFleet,
     RouteText,
     StoreFault, //
 };
@@ -61,6 +62,10 @@
 /// Longest time from a drain until the replica gets no new requests (`drainMs`).
 const DRAIN_PERIOD: Duration = Duration::from_secs(3);
 const SHARDS: [&str; 3] = ["s1", "s2", "s3"];
+/// Retries of a request that crashes its replicas that may reach replicas once the guarantees hold.
+const LATE_RETRIES_MAX: usize = 3;
+/// Pause between two retries of the caller whose request crashes replicas.
+const CRASH_PAUSE: Duration = Duration::from_millis(250);
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
 
 fn ms(millis: u64) -> Duration {
@@ -80,6 +85,7 @@
             ..RouteText::single("/all/", "s1")
         },
     ];
+    routes.push(RouteText::single("/fragile/", "s4"));
     if version.is_multiple_of(2) {
         routes.push(RouteText::single("/extra/", "s3"));
     }
@@ -112,6 +118,8 @@
     store: LinkProxy,
     daemons: Vec<DaemonProcess>,
     replicas: Vec<ProxiedReplica>,
+    /// Replicas without a proxy that one request crashes.
+    fleet: ReplicaFleet,
     state: Arc<CallerState>,
     random: StdRng,
     version: u64,
@@ -136,6 +144,7 @@
                 });
             }
         }
+        let fleet = ReplicaFleet::start(&cluster.store, "s4", &["z1", "z1", "z2", "z2"]);
         let daemons: Vec<_> = ["z1", "z1", "z2"]
             .map(|zone| cluster.ready_daemon(zone))
             .into();
@@ -154,6 +163,7 @@
             store,
             daemons,
             replicas,
+            fleet,
             state,
             random: StdRng::seed_from_u64(seed),
             version: 1,
@@ -263,25 +273,30 @@
 
     /// Runs the whole test and returns the violations found.
     fn run(mut self) -> Vec<String> {
-        let callers: Vec<_> = (0..6).map(|_| spawn_caller(self.state.clone())).collect();
+        let mut callers: Vec<_> = (0..6).map(|_| spawn_caller(self.state.clone())).collect();
+        callers.push(spawn_crashing_caller(self.state.clone()));
         let end = Instant::now() + FAULT_PERIOD;
         while Instant::now() < end {
             self.inject_fault();
+            self.fleet.restart_crashed(&self.cluster.store);
         }
         self.clear_faults();
         for daemon in &self.daemons {
             wait_for("the daemon is ready after the faults", || daemon.is_ready());
         }
-        thread::sleep(SETTLE_PERIOD);
+        self.wait(SETTLE_PERIOD);
+        let settled_at = Instant::now();
         self.state.settled.store(true, Ordering::SeqCst);
         let draining = self.random.random_range(0..self.replicas.len());
         let proxied = &self.replicas[draining];
         proxied
             .replica
             .register_at(proxied.proxy.address(), &self.cluster.store, "draining");
-        thread::sleep(DRAIN_PERIOD);
+        self.wait(DRAIN_PERIOD);
+        let proxied = &self.replicas[draining];
         let runs = proxied.replica.runs();
-        thread::sleep(ms(1_500));
+        self.wait(ms(1_500));
+        let proxied = &self.replicas[draining];
         let mut violations = Vec::new();
         if proxied.replica.runs() > runs {
             violations.push(format!("{} got requests after its drain", proxied.name));
@@ -292,6 +307,7 @@
         }
         violations.extend(self.state.violations.lock().unwrap().drain(..));
         self.check_runs(&mut violations);
+        self.check_crashing_runs(settled_at, &mut violations);
         let requests = self.state.requests.load(Ordering::SeqCst);
         let successes = self.state.successes.load(Ordering::SeqCst);
         if requests < 50 || successes * 100 < requests * 95 {
@@ -305,6 +321,33 @@
         violations
     }
 
+    /// Lets time pass, in which crashed replicas are started again.
+    fn wait(&mut self, span: Duration) {
+        let end = Instant::now() + span;
+        while Instant::now() < end {
+            self.fleet.restart_crashed(&self.cluster.store);
+            thread::sleep(ms(10));
+        }
+    }
+
+    /// Checks that few retries of the request that crashes replicas reached them after `settled_at`,
+    /// and none that was refused.
+    fn check_crashing_runs(&mut self, settled_at: Instant, violations: &mut Vec<String>) {
+        self.fleet.restart_crashed(&self.cluster.store);
+        let runs = self.fleet.crashing_runs();
+        let late = runs.iter().filter(|(at, _)| *at > settled_at);
+        let late: BTreeSet<&String> = late.map(|(_, id)| id).collect();
+        if late.len() > LATE_RETRIES_MAX {
+            violations.push(format!("retries that crashed replicas: {late:?}"));
+        }
+        if runs.len() < 3 {
+            violations.push(format!("only {} crashes under a request", runs.len()));
+        }
+        let refused = self.state.refused.lock().unwrap();
+        let ran = runs.iter().filter(|(_, id)| refused.contains(id));
+        violations.extend(ran.map(|(_, id)| format!("{id} ran although it was refused")));
+    }
+
     /// Checks that refused requests have not run and that others ran at most once where required.
     fn check_runs(&self, violations: &mut Vec<String>) {
         let runs = |id: &str| {
@@ -368,6 +411,27 @@
     })
 }
 
+/// Sends a request that crashes each replica on which it runs, again and again.
+fn spawn_crashing_caller(state: Arc<CallerState>) -> thread::JoinHandle<()> {
+    thread::spawn(move || {
+        let mut number = 0;
+        while !state.finished.load(Ordering::SeqCst) {
+            number += 1;
+            let address = {
+                let addresses = state.addresses.lock().unwrap();
+                addresses[number % addresses.len()]
+            };
+            let id = format!("crash-{number}");
+            let line = "POST /fragile/crashes-replicas";
+            let reply = call(address, line, &id, REQUEST_TIMEOUT, b"body");
+            if matches!(reply.status, 429 | 503) {
+                state.refused.lock().unwrap().push(id);
+            }
+            thread::sleep(CRASH_PAUSE);
+        }
+    })
+}
+
 /// What is wrong with a reply; these rules hold during faults too.
 fn find_violation(route: &str, id: &str, reply: &CallerReply) -> Option<&'static str> {
     if matches!(reply.status, 400..=407 | 409..=420 | 422..=428) {
