Pass drain marks and quarantines on again for daemons that were cut off

A note is sent a limited number of times, and two daemons compare only their members. A data centre that is cut off for a few seconds keeps its members, so it never learned of a drain or a quarantine from that time, on the product's own interface.

--- a/policy/src/peers/note_rules.rs
+++ b/policy/src/peers/note_rules.rs
@@ -25,6 +25,8 @@
 
 /// Largest time to expiry that is accepted for a drain mark or a quarantine.
 const EXPIRY_MAX: Duration = Duration::from_secs(7 * 24 * 60 * 60);
+/// Drain marks, and quarantines, that are queued again at a time.
+const REPEATED_NOTES: usize = 2;
 /// Maximum number of crashed upstreams stored for one query.
 const DEATHS_PER_QUERY_MAX: usize = 8;
 
@@ -159,11 +161,8 @@
             return false;
         }
         self.drains.insert(vm.clone(), until);
-        let note = DrainNote {
-            vm: vm.to_string(),
-            until_us: until.0,
-        };
-        self.queue_note(now, NoteKey::Drain(vm), Note::Drain(note));
+        let note = drain_note(&vm, until);
+        self.queue_note(now, NoteKey::Drain(vm), note);
         true
     }
 
@@ -227,8 +226,44 @@
         changed
     }
 
+    /// Queues some drain marks and quarantines again, in rotation, for daemons that were cut off when
+    /// they were new.
+    pub(super) fn repeat_notes(&mut self, now: TimePoint) {
+        let (last_vm, last_print) = self.last_repeated.clone();
+        let later = |vm: &VmName| last_vm.as_ref().is_none_or(|last| vm > last);
+        let drains = self.drains.iter();
+        let (later, earlier): (Vec<_>, Vec<_>) = drains.partition(|(vm, _)| later(vm));
+        let drains = later.into_iter().chain(earlier).take(REPEATED_NOTES);
+        let drains: Vec<(VmName, TimePoint)> =
+            drains.map(|(vm, until)| (vm.clone(), *until)).collect();
+        for (vm, until) in drains {
+            let note = drain_note(&vm, until);
+            self.last_repeated.0 = Some(vm.clone());
+            self.queue_note(now, NoteKey::Drain(vm), note);
+        }
+        let quarantines = self.quarantines.iter();
+        let (later, earlier): (Vec<_>, Vec<_>) =
+            quarantines.partition(|(print, _)| **print > last_print);
+        let quarantines = later.into_iter().chain(earlier).take(REPEATED_NOTES);
+        let quarantines: Vec<(QueryPrint, QuarantineNote)> = quarantines
+            .map(|(print, note)| (*print, note.clone()))
+            .collect();
+        for (print, note) in quarantines {
+            self.last_repeated.1 = print;
+            self.queue_note(now, NoteKey::Quarantine(print), Note::Quarantine(note));
+        }
+    }
+
     pub(super) fn expire_drains_and_quarantines(&mut self, now: TimePoint) {
         self.drains.retain(|_, until| *until > now);
         self.quarantines.retain(|_, note| note.until_us > now.0);
     }
 }
+
+/// The note that passes on a drain mark.
+pub(super) fn drain_note(vm: &VmName, until: TimePoint) -> Note {
+    Note::Drain(DrainNote {
+        vm: vm.to_string(),
+        until_us: until.0,
+    })
+}
--- a/policy/src/peers/peer_core.rs
+++ b/policy/src/peers/peer_core.rs
@@ -72,6 +72,8 @@
     pub(super) drains: BTreeMap<VmName, TimePoint>,
     /// Crashed upstreams by query, whether or not the query is quarantined yet.
     pub(super) quarantines: BTreeMap<QueryPrint, QuarantineNote>,
+    /// The drain mark and the quarantine that were queued again last.
+    pub(super) last_repeated: (Option<VmName>, QueryPrint),
     /// Bundle version in force on this daemon, and the first eight bytes of its digest.
     pub(super) bundle: (BundleVersion, u64),
     /// Version last requested from a peer, and when.
@@ -123,6 +125,7 @@
             notes: NoteQueue::new(settings.notes_max),
             drains: BTreeMap::new(),
             quarantines: BTreeMap::new(),
+            last_repeated: (None, QueryPrint::default()),
             bundle: (BundleVersion(0), 0),
             requested_bundle: (BundleVersion(0), TimePoint(0)),
             vm_list_addresses: Vec::new(),
--- a/policy/src/peers/peer_sync.rs
+++ b/policy/src/peers/peer_sync.rs
@@ -9,7 +9,6 @@
 use schema::{
     peer::{
         note_entry::Note,
-        DrainNote,
         NoteEntry,
         SyncBody, //
     },
@@ -17,6 +16,7 @@
 };
 
 use super::{
+    note_rules::drain_note,
     MemberState,
     PeerAction,
     PeerCore, //
@@ -35,10 +35,7 @@
             notes.push(Note::Member(member.to_entry()));
         }
         for (vm, until) in &self.drains {
-            notes.push(Note::Drain(DrainNote {
-                vm: vm.to_string(),
-                until_us: until.0,
-            }));
+            notes.push(drain_note(vm, *until));
         }
         for note in self.quarantines.values() {
             notes.push(Note::Quarantine(note.clone()));
--- a/policy/src/peers/probe_round.rs
+++ b/policy/src/peers/probe_round.rs
@@ -93,6 +93,7 @@
             .ticks
             .is_multiple_of(self.settings.periods_per_remote_ping.max(1))
         {
+            self.repeat_notes(now);
             self.ping_remote_zone(actions);
         }
         self.join(now, actions);
--- a/policy/tests/peers_network.rs
+++ b/policy/tests/peers_network.rs
@@ -90,6 +90,40 @@
     }
 }
 
+/// Guards against a daemon that never learns of a drain or a quarantine because it was cut off while
+/// the note was passed on, for a time too short to change the members.
+#[test]
+fn drains_and_quarantines_reach_a_zone_that_was_cut_off() {
+    for (nodes, zones) in [(8, 3), (32, 3)] {
+        let mut net = converged_net(6, nodes, zones);
+        net.isolated_zones = vec![1];
+        let now = net.now;
+        let until = now + 120 * SECOND;
+        let drain = PeerEvent::DrainObserved {
+            vm: "upstream-7".parse().expect("vm"),
+            until,
+        };
+        net.deliver(now, 0, drain);
+        let quarantine = PeerEvent::QuarantineObserved {
+            print: QueryPrint(99),
+            deaths: vec!["upstream-1".parse().expect("vm")],
+            until,
+        };
+        net.deliver(now, 2, quarantine);
+        net.run_for(6 * SECOND);
+        net.isolated_zones.clear();
+        net.run_for(10 * SECOND);
+        for (index, node) in net.nodes.iter().enumerate() {
+            let known = (node.core.drains().len(), node.core.quarantines().count());
+            assert_eq!(
+                known,
+                (1, 1),
+                "drains and quarantines at {index} of {nodes}"
+            );
+        }
+    }
+}
+
 #[test]
 fn live_daemons_are_not_declared_dead() {
     for (nodes, zones) in NETWORK_SIZES {
