Probe replicas that reset new connections rarely

Cause: after a loss of power replicas count dead connections and reset new ones. Each such reset started a probe, which opened one more.

Ruled out: no probe after the reset of a new connection. A daemon without other traffic then never recognises a crash (two real-process tests failed).

Change: such resets share a token bucket (2 a second, 4 at once), except for a request that may have crashed another replica.

--- a/daemon/src/forward/replica_exchange.rs
+++ b/daemon/src/forward/replica_exchange.rs
@@ -104,6 +104,10 @@
         return ExchangeOutcome::failed(ForwardFailure::Unconnected, opened);
     };
     link.start_exchange();
+    let broken = match opened {
+        true => ForwardFailure::BrokenNew,
+        false => ForwardFailure::Broken,
+    };
     let response = match link.sender.send_request(request).await {
         Ok(response) => response,
         // The connection was closed before the request was written to it.
@@ -113,7 +117,7 @@
         Err(error) if error.is_parse() || link.is_overrun() => {
             return ExchangeOutcome::failed(ForwardFailure::Garbled, opened);
         }
-        Err(_) => return ExchangeOutcome::failed(ForwardFailure::Broken, opened),
+        Err(_) => return ExchangeOutcome::failed(broken, opened),
     };
     let (head, body) = response.into_parts();
     let marks = match ReplyHeaders::read(head.status, &head.headers, &id) {
@@ -126,7 +130,10 @@
         Err(_) if link.is_overrun() => {
             return ExchangeOutcome::failed(ForwardFailure::Garbled, opened);
         }
-        Err(failure) => return ExchangeOutcome::failed(failure, opened),
+        Err(BodyFailure::Broken) => return ExchangeOutcome::failed(broken, opened),
+        Err(BodyFailure::TooLarge) => {
+            return ExchangeOutcome::failed(ForwardFailure::Garbled, opened);
+        }
     };
     let connection = head.headers.get(header::CONNECTION);
     let closes = connection.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
@@ -145,18 +152,25 @@
     }
 }
 
-/// Reads a whole body. It fails as broken if the connection ends before, and as garbled if the body
-/// is larger than [`MAX_REPLY_BYTES`] or than the budget allows.
-async fn read_body(mut body: Incoming, budget: &ReplyBudget) -> Result<Bytes, ForwardFailure> {
+/// Why a body was not read to its end.
+enum BodyFailure {
+    /// The connection ended before.
+    Broken,
+    /// The body is larger than [`MAX_REPLY_BYTES`], or than the budget allows.
+    TooLarge,
+}
+
+/// Reads a whole body.
+async fn read_body(mut body: Incoming, budget: &ReplyBudget) -> Result<Bytes, BodyFailure> {
     let mut account = budget.start_reply();
     let mut bytes = BytesMut::new();
     while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.map_err(|_| ForwardFailure::Broken)?.into_data() else {
+        let Ok(data) = frame.map_err(|_| BodyFailure::Broken)?.into_data() else {
             continue;
         };
         let fits = bytes.len() + data.len() <= MAX_REPLY_BYTES;
         if !fits || !account.try_take(data.len()) {
-            return Err(ForwardFailure::Garbled);
+            return Err(BodyFailure::TooLarge);
         }
         bytes.extend_from_slice(&data);
     }
--- a/policy/src/forward/attempt_results.rs
+++ b/policy/src/forward/attempt_results.rs
@@ -150,13 +150,13 @@
                     }));
                 }
             }
-            ForwardFailure::Broken | ForwardFailure::Garbled => {
+            ForwardFailure::Broken | ForwardFailure::BrokenNew | ForwardFailure::Garbled => {
                 self.registry.record_failure(now, context.replica);
             }
         }
         self.log_failure(now, &context, failure.as_str(), actions);
-        if failure == ForwardFailure::Broken {
-            self.watch_broken_attempt(now, &context, actions);
+        if failure.is_broken() {
+            self.watch_broken_attempt(now, &context, failure, actions);
         }
         self.forget_if_unused(context.replica, actions);
         let Some(mut request) = self.requests.remove(&context.query) else {
@@ -165,7 +165,7 @@
         let query = request.query;
         let max_attempts = request.max_attempts();
         let idempotent = request.spec().idempotent;
-        let waits = failure == ForwardFailure::Broken && self.awaits_verdict(&request, &context);
+        let waits = failure.is_broken() && self.awaits_verdict(&request, &context);
         let part = &mut request.parts[context.part];
         part.in_flight.retain(|known| *known != attempt);
         part.executions += u32::from(failure != ForwardFailure::Unconnected);
--- a/policy/src/forward/crash_evidence.rs
+++ b/policy/src/forward/crash_evidence.rs
@@ -19,6 +19,7 @@
     ForwardAction,
     ForwardAnswer,
     ForwardEngine,
+    ForwardFailure,
     LoggedEvent,
     ProbeOutcome,
     RefusalReason,
@@ -32,11 +33,14 @@
 
 impl ForwardEngine {
     /// Handles a connection that broke while a replica ran an attempt: asks for a probe of the
-    /// replica. A replica that is draining or no longer listed ends without a crash.
+    /// replica. A replica that is draining or no longer listed ends without a crash. One that resets
+    /// a new connection mostly has too many, and a probe would add to them; such probes are few,
+    /// except for a request that may have crashed another replica.
     pub(super) fn watch_broken_attempt(
         &mut self,
         now: TimePoint,
         context: &AttemptContext,
+        failure: ForwardFailure,
         actions: &mut Vec<ForwardAction>,
     ) {
         let Some(record) = self.registry.records.get(&context.replica) else {
@@ -45,6 +49,13 @@
         if !record.listed || record.entry.draining {
             return;
         }
+        let identity = &context.identity;
+        let print = identity.caller_print(&record.entry.service);
+        let suspect = self.crashes.has_evidence(print) || self.probes.is_suspect(identity);
+        let rare = failure == ForwardFailure::BrokenNew && !suspect;
+        if rare && !self.probes.try_take_token(now) {
+            return;
+        }
         let broken = BrokenAttempt {
             query: context.query,
             part: context.part,
--- a/policy/src/forward/crash_probes.rs
+++ b/policy/src/forward/crash_probes.rs
@@ -19,10 +19,14 @@
     RequestIdentity, //
 };
 
-/// Time for which a replica that accepted a probe is not probed again. Replicas with too many
-/// connections reset them by the hundred, and probes must not add to that.
+/// Time for which a replica that accepted a probe is not probed again.
 const ACCEPTED_PERIOD: Duration = Duration::from_millis(250);
 
+/// Probes a second, and at once, of replicas that reset a new connection. Replicas that have too many
+/// connections reset new ones by the hundred, for example after all daemons lost their power.
+const NEW_CONNECTION_RATE: f64 = 2.0;
+const NEW_CONNECTION_BURST: f64 = 4.0;
+
 /// An attempt whose connection broke before the reply was complete.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct BrokenAttempt {
@@ -39,10 +43,24 @@
 }
 
 /// The broken attempts of replicas that are being probed.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(super) struct CrashProbes {
     waiting: BTreeMap<ReplicaKey, Vec<BrokenAttempt>>,
     accepted_at: BTreeMap<ReplicaKey, TimePoint>,
+    /// Token bucket of the probes after the reset of a new connection.
+    tokens: f64,
+    refilled_at: TimePoint,
+}
+
+impl Default for CrashProbes {
+    fn default() -> Self {
+        Self {
+            waiting: BTreeMap::new(),
+            accepted_at: BTreeMap::new(),
+            tokens: NEW_CONNECTION_BURST,
+            refilled_at: TimePoint::default(),
+        }
+    }
 }
 
 impl CrashProbes {
@@ -61,6 +79,24 @@
         true
     }
 
+    /// Takes a token for a probe after the reset of a new connection; returns false if there is none.
+    pub(super) fn try_take_token(&mut self, now: TimePoint) -> bool {
+        let refill = now.since(self.refilled_at).as_secs_f64() * NEW_CONNECTION_RATE;
+        self.tokens = (self.tokens + refill).min(NEW_CONNECTION_BURST);
+        self.refilled_at = now;
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+
+    /// Whether a probe has not ended that may show a crash under the request.
+    pub(super) fn is_suspect(&self, identity: &RequestIdentity) -> bool {
+        let mut attempts = self.waiting.values().flatten();
+        attempts.any(|attempt| attempt.identity == *identity)
+    }
+
     /// Whether a probe of the replica has not ended.
     pub(super) fn is_pending(&self, key: ReplicaKey) -> bool {
         self.waiting.contains_key(&key)
--- a/policy/src/forward/crash_table.rs
+++ b/policy/src/forward/crash_table.rs
@@ -168,6 +168,12 @@
         refused.then(|| refusal_of(&record.notice))
     }
 
+    /// Whether a crash counts against a request.
+    pub fn has_evidence(&self, print: QueryPrint) -> bool {
+        let record = self.records.get(&print);
+        record.is_some_and(|record| record.notice.evidence() > 0)
+    }
+
     /// Whether one more crash makes the request refused.
     pub fn is_last_chance(&self, print: QueryPrint) -> bool {
         let record = self.records.get(&print);
--- a/policy/tests/forward_crashes.rs
+++ b/policy/tests/forward_crashes.rs
@@ -442,6 +442,33 @@
     assert_eq!((bench.probes, bench.counted()), (0, 0));
 }
 
+/// Guards against probes of replicas that reset new connections because they have too many: measured
+/// after a loss of power, they nearly doubled the connections over the limit.
+#[test]
+fn resets_of_new_connections_are_probed_rarely_but_for_a_suspect() {
+    let mut bench = CrashBench::new(1, single(), 40);
+    let break_new = |bench: &mut CrashBench, content: &str, pause: Duration| {
+        let query = bench.arrive(0, identity(content, 1));
+        let (daemon, command) = bench.attempts_of(query)[0].clone();
+        bench.now = bench.now + ms(1);
+        let (attempt, failure) = (command.attempt, ForwardFailure::BrokenNew);
+        bench.notify(daemon, ForwardEvent::Failed { attempt, failure });
+        bench.notify(daemon, ForwardEvent::CallerGone { query });
+        bench.advance(pause);
+    };
+    for number in 0..100 {
+        break_new(&mut bench, &format!("/{number}"), ms(10));
+    }
+    let probes = std::mem::take(&mut bench.probes);
+    assert!((1..=6).contains(&probes), "{probes} probes in a second");
+    let query = bench.arrive(0, identity("/p", 1));
+    let attempts = bench.attempts_of(query);
+    bench.break_attempts(&attempts, ProbeOutcome::Refused);
+    bench.notify(0, ForwardEvent::CallerGone { query });
+    break_new(&mut bench, "/p", ms(300));
+    assert_eq!(bench.probes, 2);
+}
+
 /// Guards against probes that double the connections of replicas which reset hundreds of them.
 #[test]
 fn a_replica_that_resets_connections_is_probed_rarely() {
