--- /dev/null
+++ b/daemon/src/forward/exchange_call.rs
@@ -0,0 +1,25 @@
+//! What is sent to a replica, and how much it may reply.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::{
+    HeaderValue,
+    Request, //
+};
+use http_body_util::Full;
+
+use super::reply_budget::ReplyBudget;
+
+/// A request to a replica and the limits on its reply.
+#[derive(Debug)]
+pub(super) struct ExchangeCall {
+    /// Address of the replica, for a new connection.
+    pub(super) address: SocketAddr,
+    /// What is sent.
+    pub(super) request: Request<Full<Bytes>>,
+    /// The id that the reply has to repeat, if it has one.
+    pub(super) id: HeaderValue,
+    /// Memory for replies that are not complete.
+    pub(super) budget: ReplyBudget,
+}
--- a/daemon/src/forward/forward_loop.rs
+++ b/daemon/src/forward/forward_loop.rs
@@ -5,7 +5,6 @@
         BTreeSet,
         HashMap, //
     },
-    net::SocketAddr,
     sync::Arc,
     time::Duration, //
 };
@@ -20,7 +19,6 @@
         ForwardEngine,
         ForwardEvent,
         LoggedEvent,
-        ProbeOutcome,
         ReplicaKey,
         RouteIndex,
         SendCommand, //
@@ -50,6 +48,7 @@
 };
 
 use super::{
+    exchange_call::ExchangeCall,
     forward_log::ForwardLog,
     forward_metrics::ForwardMetrics,
     forward_peers::LongPoll,
@@ -58,7 +57,6 @@
     pending_request::PendingRequest,
     replica_exchange::{
         run_exchange,
-        ExchangeCall,
         CONNECT_TIMEOUT, //
     },
     reply_budget::ReplyBudget,
@@ -75,10 +73,7 @@
     log_event,
     peering::PeerLink,
     serving_view::ServingView,
-    upstream_link::{
-        ConnectFailure,
-        UpstreamLink, //
-    }, //
+    upstream_link::UpstreamLink, //
 };
 
 /// Largest number of connections opened ahead of need in one interval.
@@ -278,35 +273,6 @@
         }
     }
 
-    /// Opens a connection to a replica that has broken one, to find out whether it still runs.
-    fn probe(&self, replica: ReplicaKey, address: SocketAddr) {
-        let events = self.events.clone();
-        spawn_local(async move {
-            let result = UpstreamLink::connect(address, CONNECT_TIMEOUT, || ()).await;
-            // The channel is closed only when the process ends.
-            let _ = events.send(InboxEvent::Probed(replica, result));
-        });
-    }
-
-    /// Keeps the connection of a probe for the next request, and reports the outcome.
-    fn end_probe(
-        &mut self,
-        now: TimePoint,
-        replica: ReplicaKey,
-        result: Result<UpstreamLink, ConnectFailure>,
-    ) {
-        let outcome = match result {
-            Ok(link) => {
-                self.metrics.connections_opened.inc();
-                self.idle_pool.put(now, replica, link);
-                ProbeOutcome::Accepted
-            }
-            Err(ConnectFailure::Refused) => ProbeOutcome::Refused,
-            Err(ConnectFailure::Failed) => ProbeOutcome::NoAnswer,
-        };
-        self.dispatch(now, ForwardEvent::Probed { replica, outcome });
-    }
-
     fn send(&mut self, now: TimePoint, command: SendCommand) {
         let Some(request) = self.requests.get_mut(&command.query) else {
             return;
--- a/daemon/src/forward/mod.rs
+++ b/daemon/src/forward/mod.rs
@@ -3,6 +3,7 @@
 
 mod arrived_request;
 mod caller_reply;
+mod exchange_call;
 mod forward_feed;
 mod forward_life;
 mod forward_log;
@@ -14,6 +15,7 @@
 mod inbox_event;
 mod pending_request;
 mod replica_exchange;
+mod replica_probe;
 mod reply_budget;
 mod request_handler;
 mod run_forward;
--- a/daemon/src/forward/replica_exchange.rs
+++ b/daemon/src/forward/replica_exchange.rs
@@ -1,9 +1,6 @@
 //! One request to a replica and its reply.
 
-use std::{
-    net::SocketAddr,
-    time::Duration, //
-};
+use std::time::Duration;
 
 use bytes::{
     Bytes,
@@ -11,14 +8,9 @@
 };
 use http::{
     header,
-    response,
-    HeaderValue,
-    Request, //
-};
-use http_body_util::{
-    BodyExt,
-    Full, //
+    response, //
 };
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use platform::ReplyHeaders;
 use policy::forward::{
@@ -26,7 +18,10 @@
     ForwardReply, //
 };
 
-use super::reply_budget::ReplyBudget;
+use super::{
+    exchange_call::ExchangeCall,
+    reply_budget::ReplyBudget, //
+};
 use crate::upstream_link::UpstreamLink;
 
 /// Longest time to open a connection; several round trips to the farthest data centre.
@@ -67,19 +62,6 @@
     }
 }
 
-/// A request to a replica and the limits on its reply.
-#[derive(Debug)]
-pub(super) struct ExchangeCall {
-    /// Address of the replica, for a new connection.
-    pub(super) address: SocketAddr,
-    /// What is sent.
-    pub(super) request: Request<Full<Bytes>>,
-    /// The id that the reply has to repeat, if it has one.
-    pub(super) id: HeaderValue,
-    /// Memory for replies that are not complete.
-    pub(super) budget: ReplyBudget,
-}
-
 /// Sends a request on `link`, or on a new connection, and reads the reply. A reply that is too large
 /// or has another id counts as garbled. The engine cancels the exchange at its deadline, which
 /// bounds a reply that goes on slowly without an end.
--- a/policy/src/forward/crash_table.rs
+++ b/policy/src/forward/crash_table.rs
@@ -24,11 +24,15 @@
 use schema::{
     CrashNotice,
     QueryPrint,
-    ReplicaName,
     TimePoint, //
 };
 use smallvec::SmallVec;
 
+use super::{
+    CrashRefusal,
+    SeenCrash, //
+};
+
 /// Crashes from which a request is refused.
 const REFUSAL_CRASHES: u32 = 3;
 /// Crashes within this time of the first one do not make a request refused.
@@ -62,32 +66,6 @@
 /// Notices that a daemon hands to one that joins.
 const SYNC_NOTICES: usize = 512;
 
-/// Why a request is not sent to a replica.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct CrashRefusal {
-    /// The fingerprint that is refused.
-    pub print: QueryPrint,
-    /// Crashes that count against it.
-    pub crashes: u32,
-    /// The replicas that crashed last.
-    pub replicas: SmallVec<[ReplicaName; 3]>,
-    /// When the request may run again.
-    pub until: TimePoint,
-}
-
-/// A replica that crashed while it ran a request.
-#[derive(Clone, Debug)]
-pub struct SeenCrash<'a> {
-    /// Name of the replica.
-    pub replica: &'a ReplicaName,
-    /// When the request was sent to it.
-    pub sent_at: TimePoint,
-    /// When the connection broke.
-    pub broke_at: TimePoint,
-    /// Hash of the caller's address; 0 if the fingerprint contains it.
-    pub caller: u64,
-}
-
 #[derive(Clone, Debug)]
 struct CrashRecord {
     notice: CrashNotice,
@@ -147,7 +125,7 @@
     pub fn check(&self, now: TimePoint, print: QueryPrint) -> Option<CrashRefusal> {
         let notice = &self.records.get(&print)?.notice;
         let refused = notice.evidence() >= REFUSAL_CRASHES && now < notice.refused_until;
-        refused.then(|| refusal_of(notice))
+        refused.then(|| CrashRefusal::new(notice))
     }
 
     /// Records that a request runs whose refusal has ended. Others with the fingerprint are refused
@@ -167,7 +145,7 @@
         let record = self.records.get(&print)?;
         let refused =
             record.notice.evidence() >= REFUSAL_CRASHES && record.last_crash_at >= arrived;
-        refused.then(|| refusal_of(&record.notice))
+        refused.then(|| CrashRefusal::new(&record.notice))
     }
 
     /// Whether a crash counts against a request.
@@ -399,12 +377,3 @@
     let last = REFUSAL_PERIODS.len() - 1;
     REFUSAL_PERIODS[usize::try_from(further).unwrap_or(last).min(last)]
 }
-
-fn refusal_of(notice: &CrashNotice) -> CrashRefusal {
-    CrashRefusal {
-        print: notice.print,
-        crashes: notice.evidence(),
-        replicas: notice.replicas.clone(),
-        until: notice.refused_until,
-    }
-}
--- a/policy/src/forward/mod.rs
+++ b/policy/src/forward/mod.rs
@@ -14,6 +14,7 @@
 mod attempt_results;
 mod crash_evidence;
 mod crash_probes;
+mod crash_refusal;
 mod crash_table;
 mod forward_action;
 mod forward_answer;
@@ -38,14 +39,12 @@
 mod retry_budget;
 mod route_index;
 mod route_state;
+mod seen_crash;
 mod service_state;
 mod weighted_balancer;
 
-pub use crash_table::{
-    CrashRefusal,
-    CrashTable,
-    SeenCrash, //
-};
+pub use crash_refusal::CrashRefusal;
+pub use crash_table::CrashTable;
 pub use forward_action::{
     ForwardAction,
     SendCommand, //
@@ -80,4 +79,5 @@
 pub use request_identity::RequestIdentity;
 pub use retry_budget::RetryBudget;
 pub use route_index::RouteIndex;
+pub use seen_crash::SeenCrash;
 pub use weighted_balancer::WeightedBalancer;
