Count a connection opened ahead of need as new, and probe its resets rarely

Two probes a second at 60 daemons were too many, and the connection of a probe, reset in its turn, started another one.

Change: new is what has carried no request. One token in five seconds, four at once; a probe that is not accepted gives its token back.

--- a/daemon/src/forward/replica_exchange.rs
+++ b/daemon/src/forward/replica_exchange.rs
@@ -85,11 +85,12 @@
     let Some(mut link) = link else {
         return ExchangeOutcome::failed(ForwardFailure::Unconnected, opened);
     };
-    link.start_exchange();
-    let broken = match opened {
-        true => ForwardFailure::BrokenNew,
-        false => ForwardFailure::Broken,
+    // A connection opened ahead of need is as new as one opened now.
+    let broken = match link.used {
+        true => ForwardFailure::Broken,
+        false => ForwardFailure::BrokenNew,
     };
+    link.start_exchange();
     let response = match link.sender.send_request(request).await {
         Ok(response) => response,
         // The connection was closed before the request was written to it.
--- a/policy/src/forward/crash_evidence.rs
+++ b/policy/src/forward/crash_evidence.rs
@@ -53,9 +53,6 @@
         let print = identity.caller_print(&record.entry.service);
         let suspect = self.crashes.has_evidence(print) || self.probes.is_suspect(identity);
         let rare = failure == ForwardFailure::BrokenNew && !suspect;
-        if rare && !self.probes.try_take_token(now) {
-            return;
-        }
         let broken = BrokenAttempt {
             query: context.query,
             part: context.part,
@@ -63,7 +60,7 @@
             sent_at: context.sent_at,
             broke_at: now,
         };
-        if self.probes.add(now, context.replica, broken) {
+        if self.probes.add(now, context.replica, broken, rare) {
             actions.push(ForwardAction::Probe {
                 replica: context.replica,
                 address: record.entry.address,
--- a/policy/src/forward/crash_probes.rs
+++ b/policy/src/forward/crash_probes.rs
@@ -22,9 +22,9 @@
 /// Time for which a replica that accepted a probe is not probed again.
 const ACCEPTED_PERIOD: Duration = Duration::from_millis(250);
 
-/// Probes a second, and at once, of replicas that reset a new connection. Replicas that have too many
-/// connections reset new ones by the hundred, for example after all daemons lost their power.
-const NEW_CONNECTION_RATE: f64 = 2.0;
+/// Probes a second, and at once, of replicas that reset a new connection and turn out to run. Replicas
+/// that have too many connections reset new ones by the hundred, and each probe is one more.
+const NEW_CONNECTION_RATE: f64 = 0.2;
 const NEW_CONNECTION_BURST: f64 = 4.0;
 
 /// An attempt whose connection broke before the reply was complete.
@@ -42,10 +42,18 @@
     pub(super) broke_at: TimePoint,
 }
 
+/// A probe that has not ended.
+#[derive(Clone, Debug)]
+struct PendingProbe {
+    attempts: Vec<BrokenAttempt>,
+    /// Whether it took a token, which it gives back unless the replica accepts it.
+    took_token: bool,
+}
+
 /// The broken attempts of replicas that are being probed.
 #[derive(Clone, Debug)]
 pub(super) struct CrashProbes {
-    waiting: BTreeMap<ReplicaKey, Vec<BrokenAttempt>>,
+    waiting: BTreeMap<ReplicaKey, PendingProbe>,
     accepted_at: BTreeMap<ReplicaKey, TimePoint>,
     /// Token bucket of the probes after the reset of a new connection.
     tokens: f64,
@@ -64,23 +72,36 @@
 }
 
 impl CrashProbes {
-    /// Adds a broken attempt. Returns whether a probe of the replica has to be started; none is
-    /// while one runs, or shortly after the replica accepted one.
-    pub(super) fn add(&mut self, now: TimePoint, key: ReplicaKey, broken: BrokenAttempt) -> bool {
-        if let Some(attempts) = self.waiting.get_mut(&key) {
-            attempts.push(broken);
+    /// Adds a broken attempt. Returns whether a probe of the replica has to be started: not while one
+    /// runs, nor shortly after the replica accepted one. A `rare` probe also needs a token.
+    pub(super) fn add(
+        &mut self,
+        now: TimePoint,
+        key: ReplicaKey,
+        broken: BrokenAttempt,
+        rare: bool,
+    ) -> bool {
+        if let Some(probe) = self.waiting.get_mut(&key) {
+            probe.attempts.push(broken);
             return false;
         }
         let accepted_at = self.accepted_at.get(&key);
         if accepted_at.is_some_and(|at| now.since(*at) < ACCEPTED_PERIOD) {
             return false;
         }
-        self.waiting.insert(key, vec![broken]);
+        if rare && !self.try_take_token(now) {
+            return false;
+        }
+        let probe = PendingProbe {
+            attempts: vec![broken],
+            took_token: rare,
+        };
+        self.waiting.insert(key, probe);
         true
     }
 
     /// Takes a token for a probe after the reset of a new connection; returns false if there is none.
-    pub(super) fn try_take_token(&mut self, now: TimePoint) -> bool {
+    fn try_take_token(&mut self, now: TimePoint) -> bool {
         let refill = now.since(self.refilled_at).as_secs_f64() * NEW_CONNECTION_RATE;
         self.tokens = (self.tokens + refill).min(NEW_CONNECTION_BURST);
         self.refilled_at = now;
@@ -93,7 +114,7 @@
 
     /// Whether a probe has not ended that may show a crash under the request.
     pub(super) fn is_suspect(&self, identity: &RequestIdentity) -> bool {
-        let mut attempts = self.waiting.values().flatten();
+        let mut attempts = self.waiting.values().flat_map(|probe| &probe.attempts);
         attempts.any(|attempt| attempt.identity == *identity)
     }
 
@@ -114,6 +135,10 @@
         if accepted {
             self.accepted_at.insert(key, now);
         }
-        self.waiting.remove(&key).unwrap_or_default()
+        let probe = self.waiting.remove(&key);
+        if !accepted && probe.as_ref().is_some_and(|probe| probe.took_token) {
+            self.tokens += 1.0;
+        }
+        probe.map_or_else(Vec::new, |probe| probe.attempts)
     }
 }
--- a/policy/src/forward/forward_failure.rs
+++ b/policy/src/forward/forward_failure.rs
@@ -7,7 +7,7 @@
     Unconnected,
     /// The connection ended before the reply was complete. The request may have run.
     Broken,
-    /// The same on a connection that was opened for this attempt. A replica that has too many
+    /// The same on a connection that has carried no request before. A replica that has too many
     /// connections resets new ones.
     BrokenNew,
     /// The response is not a valid reply to this request. The request may have run.
