Let a retry wait while its outcome can't count yet

Cause: crashes within half a second of the first do not make a request refused, but its retries ran on meanwhile. A daemon that learns of two crashes from another one starts that half second anew.

Change: while one more crash would refuse the request but would not count yet, its retries wait, for half a second at most. A success of the same request releases them, so that a harmless one waits for some milliseconds.

--- a/policy/src/forward/attempt_dispatch.rs
+++ b/policy/src/forward/attempt_dispatch.rs
@@ -45,6 +45,10 @@
         if self.stop_crashing(request, index, actions) {
             return;
         }
+        if self.retry_waits(now, request, index) {
+            request.parts[index].check_at = now + RECHECK_INTERVAL;
+            return;
+        }
         let part = &request.parts[index];
         let service = part.service;
         let key = match self.registry.pick(now, service, &part.tried) {
--- a/policy/src/forward/crash_evidence.rs
+++ b/policy/src/forward/crash_evidence.rs
@@ -202,6 +202,23 @@
             .any(|print| self.crashes.is_last_chance(*print))
     }
 
+    /// Whether a retry of a part has to wait until its outcome can count. A request that crashes its
+    /// replicas would crash another one for nothing; a harmless one is released by the next success.
+    pub(super) fn retry_waits(
+        &self,
+        now: TimePoint,
+        request: &PendingRequest,
+        index: usize,
+    ) -> bool {
+        if self.crashes.is_empty() || !request.parts[index].sent {
+            return false;
+        }
+        let prints = self.part_prints(request, index);
+        prints
+            .iter()
+            .any(|print| self.crashes.is_in_burst(now, *print))
+    }
+
     /// When a part whose retry waits for a probe is tried again without its outcome.
     pub(super) fn verdict_deadline(now: TimePoint) -> TimePoint {
         now + VERDICT_TIMEOUT
--- a/policy/src/forward/crash_table.rs
+++ b/policy/src/forward/crash_table.rs
@@ -148,6 +148,14 @@
         refused.then(|| CrashRefusal::new(&record.notice))
     }
 
+    /// Whether a retry has to wait: one more crash would make the request refused, but would not count
+    /// yet because it may have the same cause as the first one.
+    pub fn is_in_burst(&self, now: TimePoint, print: QueryPrint) -> bool {
+        let record = self.records.get(&print);
+        self.is_last_chance(print)
+            && record.is_some_and(|record| now < record.first_crash_at + BURST_PERIOD)
+    }
+
     /// Whether a crash counts against a request.
     pub fn has_evidence(&self, print: QueryPrint) -> bool {
         let record = self.records.get(&print);
--- a/policy/tests/forward_crashes.rs
+++ b/policy/tests/forward_crashes.rs
@@ -563,6 +563,42 @@
     assert!(table.check(now, print(1)).is_some());
 }
 
+/// Guards against the loss of all replicas in the first moments: with six replicas, a caller that
+/// retried every 300 ms crashed them all before its request was refused, and no other was served.
+#[test]
+fn a_retry_that_can_not_count_yet_waits() {
+    let mut bench = CrashBench::new(3, single(), 12);
+    let mut crashes = 0;
+    for retry in 0..10 {
+        let query = bench.arrive(retry % 3, identity("/p", 1));
+        let end = bench.now + ms(300);
+        while bench.now < end {
+            let attempts = bench.attempts_of(query);
+            crashes += attempts.len();
+            bench.break_attempts(&attempts, ProbeOutcome::Refused);
+            bench.advance(ms(5));
+        }
+    }
+    assert!(crashes <= 4, "{crashes} replicas crashed");
+    // A harmless request whose retry waits is sent on once another one has succeeded.
+    let mut bench = CrashBench::new(1, single(), 12);
+    for _ in 0..2 {
+        let query = bench.arrive(0, identity("/same", 1));
+        let attempts = bench.attempts_of(query);
+        bench.break_attempts(&attempts, ProbeOutcome::Refused);
+        bench.notify(0, ForwardEvent::CallerGone { query });
+    }
+    let waiting = bench.arrive(0, identity("/same", 1));
+    let attempts = bench.attempts_of(waiting);
+    bench.break_attempts(&attempts, ProbeOutcome::Refused);
+    bench.advance(ms(30));
+    assert_eq!(bench.attempts_of(waiting).len(), 0);
+    let other = bench.arrive(0, identity("/same", 1));
+    bench.serve(other);
+    bench.advance(ms(30));
+    assert_eq!(bench.attempts_of(waiting).len(), 1);
+}
+
 /// Guards against a wrong verdict without an end, and against more retries than the platform allows:
 /// one request is let through after each refusal, and the next refusal is longer.
 #[test]
