Read the bodies of both interfaces with one function

Change: the forwarding daemon had its own loop over the pieces of a body and copied each. It uses that of the own interface now, which keeps a body of one piece as it is, with a check for the budget of incomplete replies.

--- a/daemon/src/exchange.rs
+++ b/daemon/src/exchange.rs
@@ -85,7 +85,8 @@
         return failed(AttemptFailure::BadReply);
     }
     link.allow_body(call.reply_max_bytes);
-    let Some(body) = read_body(response.into_body(), call.reply_max_bytes).await else {
+    let body = read_body(response.into_body(), call.reply_max_bytes, |_| true);
+    let Ok(body) = body.await else {
         return failed(AttemptFailure::BadReply);
     };
     let result = check_reply(&body, &call.attempt_id);
@@ -101,21 +102,39 @@
     result.as_ref().is_err_and(has_bad_reply)
 }
 
-/// Reads a whole body of at most `max` bytes. Returns `None` where it is longer or truncated.
-pub(crate) async fn read_body(mut body: Incoming, max: usize) -> Option<Bytes> {
+/// Why a body was not read to its end.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum BodyFailure {
+    /// The connection ended before, or the body is malformed.
+    Broken,
+    /// The body is longer than allowed.
+    TooLarge,
+}
+
+/// Reads a whole body of at most `max` bytes. `may_hold` is asked for each piece, with its length.
+///
+/// # Errors
+///
+/// [`BodyFailure`] if the body is truncated or too long.
+pub(crate) async fn read_body(
+    mut body: Incoming,
+    max: usize,
+    mut may_hold: impl FnMut(usize) -> bool,
+) -> Result<Bytes, BodyFailure> {
     let size_hint = body.size_hint();
     if size_hint.lower() > max as u64 {
-        return None;
+        return Err(BodyFailure::TooLarge);
     }
     let mut first_chunk: Option<Bytes> = None;
     let mut later_chunks = BytesMut::new();
     while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.ok()?.into_data() else {
+        let frame = frame.map_err(|_| BodyFailure::Broken)?;
+        let Ok(data) = frame.into_data() else {
             continue;
         };
         let size = first_chunk.as_ref().map_or(0, Bytes::len) + later_chunks.len() + data.len();
-        if size > max {
-            return None;
+        if size > max || !may_hold(data.len()) {
+            return Err(BodyFailure::TooLarge);
         }
         if first_chunk.is_none() {
             first_chunk = Some(data);
@@ -125,10 +144,10 @@
     }
     let first_chunk = first_chunk.unwrap_or_default();
     if later_chunks.is_empty() {
-        return Some(first_chunk);
+        return Ok(first_chunk);
     }
     let mut whole = BytesMut::with_capacity(first_chunk.len() + later_chunks.len());
     whole.extend_from_slice(&first_chunk);
     whole.extend_from_slice(&later_chunks);
-    Some(whole.freeze())
+    Ok(whole.freeze())
 }
--- a/daemon/src/forward/replica_exchange.rs
+++ b/daemon/src/forward/replica_exchange.rs
@@ -2,27 +2,25 @@
 
 use std::time::Duration;
 
-use bytes::{
-    Bytes,
-    BytesMut, //
-};
+use bytes::Bytes;
 use http::{
     header,
     response, //
 };
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use platform::ReplyHeaders;
 use policy::forward::{
     ForwardFailure,
     ForwardReply, //
 };
 
-use super::{
-    exchange_call::ExchangeCall,
-    reply_budget::ReplyBudget, //
+use super::exchange_call::ExchangeCall;
+use crate::{
+    exchange::{
+        read_body,
+        BodyFailure, //
+    },
+    upstream_link::UpstreamLink, //
 };
-use crate::upstream_link::UpstreamLink;
 
 /// Longest time to open a connection; several round trips to the farthest data centre.
 pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -108,15 +106,14 @@
         Err(_) => return ExchangeOutcome::failed(ForwardFailure::Garbled, opened),
     };
     link.allow_body(MAX_REPLY_BYTES);
-    let body = match read_body(body, &budget).await {
+    let mut account = budget.start_reply();
+    let may_hold = |bytes: usize| account.try_take(bytes);
+    let body = match read_body(body, MAX_REPLY_BYTES, may_hold).await {
         Ok(body) => body,
-        Err(_) if link.is_overrun() => {
-            return ExchangeOutcome::failed(ForwardFailure::Garbled, opened);
-        }
-        Err(BodyFailure::Broken) => return ExchangeOutcome::failed(broken, opened),
-        Err(BodyFailure::TooLarge) => {
-            return ExchangeOutcome::failed(ForwardFailure::Garbled, opened);
+        Err(BodyFailure::Broken) if !link.is_overrun() => {
+            return ExchangeOutcome::failed(broken, opened);
         }
+        Err(_) => return ExchangeOutcome::failed(ForwardFailure::Garbled, opened),
     };
     let connection = head.headers.get(header::CONNECTION);
     let closes = connection.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
@@ -135,31 +132,6 @@
     }
 }
 
-/// Why a body was not read to its end.
-enum BodyFailure {
-    /// The connection ended before.
-    Broken,
-    /// The body is larger than [`MAX_REPLY_BYTES`], or than the budget allows.
-    TooLarge,
-}
-
-/// Reads a whole body.
-async fn read_body(mut body: Incoming, budget: &ReplyBudget) -> Result<Bytes, BodyFailure> {
-    let mut account = budget.start_reply();
-    let mut bytes = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.map_err(|_| BodyFailure::Broken)?.into_data() else {
-            continue;
-        };
-        let fits = bytes.len() + data.len() <= MAX_REPLY_BYTES;
-        if !fits || !account.try_take(data.len()) {
-            return Err(BodyFailure::TooLarge);
-        }
-        bytes.extend_from_slice(&data);
-    }
-    Ok(bytes.freeze())
-}
-
 /// How long an idle connection may be used again: less than the time after which the replica closes
 /// it, so that a request in transit does not meet a closed connection.
 fn idle_limit(head: &response::Parts) -> Option<Duration> {
