--- a/policy/tests/peers_network.rs
+++ b/policy/tests/peers_network.rs
@@ -58,23 +58,28 @@
     }
 }
 
+/// Lets one daemon observe a drain and another one a quarantine, both of which expire after `span`.
+fn observe_drain_and_quarantine(net: &mut PeerNet, daemons: [usize; 2], span: Duration) {
+    let now = net.now;
+    let until = now + span;
+    let drain = PeerEvent::DrainObserved {
+        vm: "upstream-7".parse().expect("vm"),
+        until,
+    };
+    net.deliver(now, daemons[0], drain);
+    let quarantine = PeerEvent::QuarantineObserved {
+        print: QueryPrint(99),
+        deaths: vec!["upstream-1".parse().expect("vm")],
+        until,
+    };
+    net.deliver(now, daemons[1], quarantine);
+}
+
 #[test]
 fn drains_and_quarantines_reach_all_daemons_within_two_seconds() {
     for (nodes, zones) in NETWORK_SIZES {
         let mut net = converged_net(2, nodes, zones);
-        let now = net.now;
-        let until = now + 60 * SECOND;
-        let drain = PeerEvent::DrainObserved {
-            vm: "upstream-7".parse().expect("vm"),
-            until,
-        };
-        net.deliver(now, 3, drain);
-        let quarantine = PeerEvent::QuarantineObserved {
-            print: QueryPrint(99),
-            deaths: vec!["upstream-1".parse().expect("vm")],
-            until,
-        };
-        net.deliver(now, 5, quarantine);
+        observe_drain_and_quarantine(&mut net, [3, 5], 60 * SECOND);
         net.run_for(2 * SECOND);
         for (index, node) in net.nodes.iter().enumerate() {
             assert_eq!(node.core.drains().len(), 1, "drain at {index} of {nodes}");
@@ -97,19 +102,7 @@
     for (nodes, zones) in [(8, 3), (32, 3)] {
         let mut net = converged_net(6, nodes, zones);
         net.isolated_zones = vec![1];
-        let now = net.now;
-        let until = now + 120 * SECOND;
-        let drain = PeerEvent::DrainObserved {
-            vm: "upstream-7".parse().expect("vm"),
-            until,
-        };
-        net.deliver(now, 0, drain);
-        let quarantine = PeerEvent::QuarantineObserved {
-            print: QueryPrint(99),
-            deaths: vec!["upstream-1".parse().expect("vm")],
-            until,
-        };
-        net.deliver(now, 2, quarantine);
+        observe_drain_and_quarantine(&mut net, [0, 2], 120 * SECOND);
         net.run_for(6 * SECOND);
         net.isolated_zones.clear();
         net.run_for(10 * SECOND);
