--- a/policy/src/forward/crash_table.rs
+++ b/policy/src/forward/crash_table.rs
@@ -32,6 +32,7 @@
     CrashRefusal,
     SeenCrash, //
 };
+use crate::rotation::entries_after;
 
 /// Crashes from which a request is refused.
 const REFUSAL_CRASHES: u32 = 3;
@@ -79,6 +80,29 @@
     shared: bool,
 }
 
+impl CrashRecord {
+    /// Whether enough crashes count against the request to refuse it.
+    fn has_enough_crashes(&self) -> bool {
+        self.notice.evidence() >= REFUSAL_CRASHES
+    }
+
+    /// Whether a request that arrives now is refused.
+    fn is_refused(&self, now: TimePoint) -> bool {
+        self.has_enough_crashes() && now < self.notice.refused_until
+    }
+
+    /// Whether one more crash is enough to refuse the request.
+    fn is_last_chance(&self) -> bool {
+        self.notice.evidence() + 1 >= REFUSAL_CRASHES
+    }
+
+    /// Whether one more crash of a run that begins at `at` would make the request refused, but does
+    /// not count, because it may have the same cause as the first one.
+    fn is_in_burst(&self, at: TimePoint) -> bool {
+        self.is_last_chance() && at < self.first_crash_at + BURST_PERIOD
+    }
+}
+
 /// Counts crashes by request and decides which requests are refused.
 #[derive(Clone, Debug)]
 pub struct CrashTable {
@@ -115,17 +139,14 @@
     /// Number of fingerprints that are refused now.
     pub fn refused_count(&self, now: TimePoint) -> usize {
         let records = self.records.values();
-        let refused = records.filter(|record| {
-            record.notice.evidence() >= REFUSAL_CRASHES && now < record.notice.refused_until
-        });
-        refused.count()
+        records.filter(|record| record.is_refused(now)).count()
     }
 
     /// Returns why a request that arrives now is refused, or `None` if it may run.
     pub fn check(&self, now: TimePoint, print: QueryPrint) -> Option<CrashRefusal> {
-        let notice = &self.records.get(&print)?.notice;
-        let refused = notice.evidence() >= REFUSAL_CRASHES && now < notice.refused_until;
-        refused.then(|| CrashRefusal::new(notice))
+        let record = self.records.get(&print)?;
+        let refused = record.is_refused(now);
+        refused.then(|| CrashRefusal::new(&record.notice))
     }
 
     /// Records that a request runs whose refusal has ended. Others with the fingerprint are refused
@@ -134,7 +155,7 @@
         let Some(record) = self.records.get_mut(&print) else {
             return;
         };
-        if record.notice.evidence() >= REFUSAL_CRASHES {
+        if record.has_enough_crashes() {
             record.notice.refused_until = now + TRIAL_PERIOD;
         }
     }
@@ -143,8 +164,7 @@
     /// replica, or `None` if it may be.
     pub fn check_resend(&self, print: QueryPrint, arrived: TimePoint) -> Option<CrashRefusal> {
         let record = self.records.get(&print)?;
-        let refused =
-            record.notice.evidence() >= REFUSAL_CRASHES && record.last_crash_at >= arrived;
+        let refused = record.has_enough_crashes() && record.last_crash_at >= arrived;
         refused.then(|| CrashRefusal::new(&record.notice))
     }
 
@@ -152,8 +172,7 @@
     /// yet because it may have the same cause as the first one.
     pub fn is_in_burst(&self, now: TimePoint, print: QueryPrint) -> bool {
         let record = self.records.get(&print);
-        self.is_last_chance(print)
-            && record.is_some_and(|record| now < record.first_crash_at + BURST_PERIOD)
+        record.is_some_and(|record| record.is_in_burst(now))
     }
 
     /// Whether a crash counts against a request.
@@ -165,7 +184,7 @@
     /// Whether one more crash makes the request refused.
     pub fn is_last_chance(&self, print: QueryPrint) -> bool {
         let record = self.records.get(&print);
-        record.is_some_and(|record| record.notice.evidence() + 1 >= REFUSAL_CRASHES)
+        record.is_some_and(CrashRecord::is_last_chance)
     }
 
     /// Records a crash. Returns the number of crashes that count against the request, or `None` if
@@ -192,18 +211,18 @@
             report_at: TimePoint::NEVER,
             shared: false,
         });
-        let notice = &mut record.notice;
-        let same_caller = crash.caller != 0 && crash.caller == notice.caller;
-        if crash.sent_at < record.last_crash_at || (same_caller && notice.evidence() > 0) {
+        let known = record.notice.evidence();
+        let same_caller = crash.caller != 0 && crash.caller == record.notice.caller;
+        if crash.sent_at < record.last_crash_at || (same_caller && known > 0) {
             return None;
         }
-        let in_burst = crash.sent_at < record.first_crash_at + BURST_PERIOD;
-        if in_burst && notice.evidence() + 1 >= REFUSAL_CRASHES {
+        if record.is_in_burst(crash.sent_at) {
             return None;
         }
-        if notice.evidence() == 0 {
+        if known == 0 {
             record.first_crash_at = crash.broke_at;
         }
+        let notice = &mut record.notice;
         notice.crashes += 1;
         notice.caller = crash.caller;
         notice.replicas.insert(0, crash.replica.clone());
@@ -339,11 +358,7 @@
 
     /// The next notices in the order of fingerprints that other daemons have or had.
     fn repeat_notices(&mut self) -> Vec<CrashNotice> {
-        let later = self
-            .records
-            .range(self.last_repeated..)
-            .skip_while(|(print, _)| **print == self.last_repeated);
-        let all = later.chain(self.records.range(..=self.last_repeated));
+        let all = entries_after(&self.records, Some(&self.last_repeated));
         let shared = all.filter(|(_, record)| record.shared);
         let notices = shared.map(|(_, record)| record.notice.clone());
         let notices: Vec<CrashNotice> = notices.take(REPEAT_NOTICES).collect();
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod limits;
 pub mod peers;
 pub mod replicas;
+mod rotation;
 pub mod store;
--- a/policy/src/peers/note_rules.rs
+++ b/policy/src/peers/note_rules.rs
@@ -22,6 +22,7 @@
     PeerCore,
     PeerMember, //
 };
+use crate::rotation::entries_after;
 
 /// Largest time to expiry that is accepted for a drain mark or a quarantine.
 const EXPIRY_MAX: Duration = Duration::from_secs(7 * 24 * 60 * 60);
@@ -229,25 +230,17 @@
     /// Queues some drain marks and quarantines again, in rotation, for daemons that were cut off when
     /// they were new.
     pub(super) fn repeat_notes(&mut self, now: TimePoint) {
-        let (last_vm, last_print) = self.last_repeated.clone();
-        let later = |vm: &VmName| last_vm.as_ref().is_none_or(|last| vm > last);
-        let drains = self.drains.iter();
-        let (later, earlier): (Vec<_>, Vec<_>) = drains.partition(|(vm, _)| later(vm));
-        let drains = later.into_iter().chain(earlier).take(REPEATED_NOTES);
-        let drains: Vec<(VmName, TimePoint)> =
-            drains.map(|(vm, until)| (vm.clone(), *until)).collect();
+        let drains = entries_after(&self.drains, self.last_repeated.0.as_ref());
+        let drains = drains.map(|(vm, until)| (vm.clone(), *until));
+        let drains: Vec<_> = drains.take(REPEATED_NOTES).collect();
         for (vm, until) in drains {
             let note = drain_note(&vm, until);
             self.last_repeated.0 = Some(vm.clone());
             self.queue_note(now, NoteKey::Drain(vm), note);
         }
-        let quarantines = self.quarantines.iter();
-        let (later, earlier): (Vec<_>, Vec<_>) =
-            quarantines.partition(|(print, _)| **print > last_print);
-        let quarantines = later.into_iter().chain(earlier).take(REPEATED_NOTES);
-        let quarantines: Vec<(QueryPrint, QuarantineNote)> = quarantines
-            .map(|(print, note)| (*print, note.clone()))
-            .collect();
+        let quarantines = entries_after(&self.quarantines, Some(&self.last_repeated.1));
+        let quarantines = quarantines.map(|(print, note)| (*print, note.clone()));
+        let quarantines: Vec<_> = quarantines.take(REPEATED_NOTES).collect();
         for (print, note) in quarantines {
             self.last_repeated.1 = print;
             self.queue_note(now, NoteKey::Quarantine(print), Note::Quarantine(note));
