--- a/daemon/tests/forward_cluster/mod.rs
+++ b/daemon/tests/forward_cluster/mod.rs
@@ -76,6 +76,11 @@
         }
     }
 
+    /// The id of the process.
+    pub(crate) fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// The address of the caller port.
     pub(crate) fn callers(&self) -> SocketAddr {
         SocketAddr::from((self.ip, 7401))
