Refuse a relayed request as not run only if no attempt of this daemon may have run it

Change: the state of the request is reset before the outcome is judged. A refusal is passed on only if no attempt of this daemon may have run the request.

Evidence: what_a_helper_has_not_run_may_have_run_before failed before and passes.

--- a/policy/src/forward/helper_table.rs
+++ b/policy/src/forward/helper_table.rs
@@ -232,7 +232,10 @@
         };
         record.offer = None;
         record.refusal = Some((refusal, now + REFUSED_PERIOD));
-        self.next_ask = self.next_ask.min(now);
+        // Without lost links no helper is looked for.
+        if self.next_ask != TimePoint::NEVER {
+            self.next_ask = self.next_ask.min(now);
+        }
     }
 
     /// Asks as many daemons as are missing, the nearest first.
--- a/policy/src/forward/relay_dispatch.rs
+++ b/policy/src/forward/relay_dispatch.rs
@@ -189,7 +189,15 @@
         let Some(mut request) = self.requests.remove(&context.query) else {
             return;
         };
+        request.relay = RelayState::Waiting {
+            since: now,
+            check_at: now,
+        };
         match outcome {
+            // The helper speaks for itself only: an attempt of this daemon may have run the request.
+            RelayOutcome::NotRun if request.may_have_run() => {
+                request.relay = RelayState::Ended(stranded_answer(&request));
+            }
             RelayOutcome::Answered | RelayOutcome::NotRun => {
                 request.relay = RelayState::Ended(ForwardAnswer::Relayed { attempt });
             }
--- a/policy/tests/forward_kit/mod.rs
+++ b/policy/tests/forward_kit/mod.rs
@@ -217,6 +217,8 @@
     pub(crate) cuts: BTreeMap<usize, SimulatedCut>,
     /// Daemons that answer no other daemon: frozen, killed, cut off or of an older build.
     pub(crate) mute: BTreeSet<usize>,
+    /// How all relays end at once, if they do.
+    pub(crate) relays_end: Option<&'static str>,
     /// Questions for offers, with their time, by the daemon that asks.
     pub(crate) asks: Vec<(TimePoint, usize)>,
     /// Relays that were sent: time, from, to, terms.
@@ -281,6 +283,7 @@
             relayed: BTreeMap::new(),
             cuts: BTreeMap::new(),
             mute: BTreeSet::new(),
+            relays_end: None,
             asks: Vec::new(),
             sent_relays: Vec::new(),
             logged: Vec::new(),
@@ -603,6 +606,11 @@
                 let Some(command) = self.relays.get(&(from, attempt)).cloned() else {
                     return;
                 };
+                if let Some(outcome) = self.relays_end {
+                    let event = PlannedEvent::RelayEnds(from, attempt, outcome);
+                    self.schedule(self.peer_delay(to, from), event);
+                    return;
+                }
                 if self.mute.contains(&to) {
                     return;
                 }
--- a/policy/tests/forward_stranded.rs
+++ b/policy/tests/forward_stranded.rs
@@ -180,6 +180,28 @@
     }
 }
 
+/// Guards against a request that is refused as not run although an attempt of the stranded daemon may
+/// have run it, because the helper has not run it; and against one that no daemon has run but ends as if
+/// it might have, because a helper declined it.
+#[test]
+fn what_a_helper_has_not_run_may_have_run_before() {
+    let mut simulation = cluster(3);
+    load(&mut simulation, 30, ms(1_000));
+    let in_flight = simulation.send_request(0, SLOW, ms(3_000));
+    simulation.advance(ms(20));
+    simulation.cuts.insert(0, SimulatedCut::Hang);
+    simulation.relays_end = Some("not_run");
+    load(&mut simulation, 20, ms(2_000));
+    let answer = &simulation.answered_request(in_flight).answer;
+    assert!(matches!(answer, ForwardAnswer::Failed { .. }), "{answer:?}");
+    assert!(lost_at(&simulation, 0).is_some());
+    simulation.relays_end = Some("no_room");
+    let once = simulation.send_request(0, ONCE, ms(3_000));
+    simulation.advance(ms(1_000));
+    let answer = &simulation.answered_request(once).answer;
+    assert!(matches!(answer, ForwardAnswer::NotRun { .. }), "{answer:?}");
+}
+
 /// Guards against daemons that send a request in a circle or ask each other without end where nobody
 /// reaches a replica: the request is refused at once, with a time to come back.
 #[test]
