Send no new requests to a replica that says it leaves

The store is silent meanwhile, so that the directory goes on listing it as ready.

Cause: nothing read the header. A statement that a replica makes about itself reached the daemon only through the directory.

Change: ReplicaStatements holds what a reply says of its replica, whatever its status, and statement_evidence takes it over in one place. The word holds for that start of the replica (name, service, address and start time), beside what the directory says; StatementTable keeps it while a registration has expired. A daemon that forwards requests for another one names the leaving replicas it knows, since the other passes their answers on.

--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -154,6 +154,11 @@
     REQUEST_RELAYED = "E7026" Info "links lost; sending the request to another daemon";
     /// The relay of a request ended.
     RELAY_ENDED = "E7027" Info "relay of the request ended";
+    /// A replica said in a reply that it leaves.
+    REPLICA_LEAVING = "E7028" Info "replica says that it leaves; sending it no new requests";
+    /// A replica made a statement about itself that can't be read.
+    STATEMENT_UNREADABLE = "E7029" Warning
+        "statement of a replica about itself can't be read; ignoring it";
 }
 
 /// Logs an event of the catalogue with its code and the given fields:
--- a/daemon/src/forward/caller_reply.rs
+++ b/daemon/src/forward/caller_reply.rs
@@ -30,4 +30,6 @@
     pub(super) body: Bytes,
     /// What it means to a daemon that has relayed the request.
     pub(super) verdict: ReplyVerdict,
+    /// Replicas that leave, for a daemon that has relayed the request.
+    pub(super) leaving: Vec<u64>,
 }
--- a/daemon/src/forward/forward_log.rs
+++ b/daemon/src/forward/forward_log.rs
@@ -255,6 +255,24 @@
                 "request" => id, "query" => query.0, "helper" => %helper,
                 "outcome" => outcome.as_str(), "age_ms" => millis(*age),
             ),
+            LoggedEvent::ReplicaLeaving {
+                replica,
+                service,
+                listed_as_draining,
+            } => log_event!(
+                logger, events::REPLICA_LEAVING,
+                "replica" => %replica, "service" => %service,
+                "listed_as_draining" => *listed_as_draining,
+            ),
+            LoggedEvent::StatementUnreadable {
+                replica,
+                service,
+                statement,
+            } => log_event!(
+                logger, events::STATEMENT_UNREADABLE,
+                "replica" => %replica, "service" => %service, "subject" => statement.subject,
+                "value" => statement.value.as_str(),
+            ),
             LoggedEvent::ReplicaListed {
                 replica,
                 service,
--- a/daemon/src/forward/forward_requests.rs
+++ b/daemon/src/forward/forward_requests.rs
@@ -228,6 +228,11 @@
             }
         };
         self.record_answer(now, &request, result, missing_parts);
+        let leaving = match request.relayed_by {
+            Some(_) => self.engine.leaving_instances(),
+            None => Vec::new(),
+        };
+        let reply = CallerReply { leaving, ..reply };
         // If the caller has just disconnected, `DisconnectGuard` reports it.
         let _ = request.reply_sender.send(reply);
     }
--- a/daemon/src/forward/relay_messages.rs
+++ b/daemon/src/forward/relay_messages.rs
@@ -111,6 +111,7 @@
         headers: to_fields(&reply.headers),
         body: reply.body.into(),
         refusal,
+        leaving: reply.leaving,
     }
 }
 
--- a/daemon/src/forward/relay_tasks.rs
+++ b/daemon/src/forward/relay_tasks.rs
@@ -127,7 +127,11 @@
             return;
         };
         let (outcome, reply) = match result {
-            Ok(reply) => from_reply(reply),
+            Ok(mut reply) => {
+                let instances = std::mem::take(&mut reply.leaving);
+                self.dispatch(now, ForwardEvent::LeavingNamed { instances });
+                from_reply(reply)
+            }
             Err(RelayFailure::Unsent) => (RelayOutcome::Declined(RelayRefusal::NoAnswer), None),
             Err(RelayFailure::Broken) => (RelayOutcome::Broken, None),
         };
--- a/daemon/src/forward/replica_exchange.rs
+++ b/daemon/src/forward/replica_exchange.rs
@@ -9,13 +9,17 @@
 };
 use platform::{
     ReplyHeaders,
-    UnreadableLimit, //
+    UnreadableValue, //
 };
 use policy::forward::{
     ForwardFailure,
     ForwardReply,
-    LimitStatement, //
+    LimitStatement,
+    ReplicaStatements,
+    UnreadableStatement, //
 };
+use schema::RequestRate;
+use smallvec::SmallVec;
 
 use super::exchange_call::ExchangeCall;
 use crate::{
@@ -128,11 +132,7 @@
             not_run: marks.not_run,
             moved: marks.moved,
             stamp: marks.stamp,
-            limit: match marks.limit {
-                None => LimitStatement::Unlimited,
-                Some(Ok(limit)) => LimitStatement::Limited(limit),
-                Some(Err(UnreadableLimit(value))) => LimitStatement::Unreadable(value),
-            },
+            statements: statements_of(marks.limit, marks.leaving),
             body: body.clone(),
         }),
         reply: Some(ReplicaReply { head, body }),
@@ -141,6 +141,31 @@
     }
 }
 
+fn statements_of(
+    limit: Option<Result<RequestRate, UnreadableValue>>,
+    leaving: Option<Result<bool, UnreadableValue>>,
+) -> ReplicaStatements {
+    let mut unreadable = SmallVec::new();
+    let mut read_or_note = |subject, value: Option<Result<bool, UnreadableValue>>| match value {
+        Some(Ok(value)) => Some(value),
+        Some(Err(UnreadableValue(value))) => {
+            unreadable.push(UnreadableStatement { subject, value });
+            None
+        }
+        None => None,
+    };
+    let leaving = read_or_note("leaving", leaving).unwrap_or(false);
+    ReplicaStatements {
+        limit: match limit {
+            None => LimitStatement::Unlimited,
+            Some(Ok(limit)) => LimitStatement::Limited(limit),
+            Some(Err(UnreadableValue(value))) => LimitStatement::Unreadable(value),
+        },
+        leaving,
+        unreadable,
+    }
+}
+
 /// How long an idle connection may be used again: less than the time after which the replica closes
 /// it, so that a request in transit does not meet a closed connection.
 fn idle_limit(head: &response::Parts) -> Option<Duration> {
--- a/policy/src/forward/attempt_dispatch.rs
+++ b/policy/src/forward/attempt_dispatch.rs
@@ -285,7 +285,7 @@
             let replica = context.replica;
             actions.push(ForwardAction::CloseIdle { replica });
         }
-        self.forget_if_unused(context.replica, actions);
+        self.forget_if_unused(now, context.replica, actions);
     }
 
     /// Removes an attempt from the engine and from the attempts in flight of its replica.
--- a/policy/src/forward/attempt_results.rs
+++ b/policy/src/forward/attempt_results.rs
@@ -31,9 +31,7 @@
         };
         self.reach.record_reply(now);
         let latency = now.since(context.sent_at);
-        if !reply.moved {
-            self.record_limit(now, &context, &reply.limit, actions);
-        }
+        self.record_statements(now, &context, &reply, actions);
         if reply.moved {
             // The address belongs to another replica by now: the directory entry is stale.
             self.registry.record_connect_failure(now, context.replica);
@@ -57,7 +55,7 @@
                 }));
             }
         }
-        self.forget_if_unused(context.replica, actions);
+        self.forget_if_unused(now, context.replica, actions);
         let Some(mut request) = self.requests.remove(&context.query) else {
             return;
         };
@@ -163,7 +161,7 @@
         if failure.is_broken() {
             self.watch_broken_attempt(now, &context, failure, actions);
         }
-        self.forget_if_unused(context.replica, actions);
+        self.forget_if_unused(now, context.replica, actions);
         let Some(mut request) = self.requests.remove(&context.query) else {
             return;
         };
--- a/policy/src/forward/forward_engine.rs
+++ b/policy/src/forward/forward_engine.rs
@@ -163,7 +163,7 @@
             }
             ForwardEvent::CrashReported(notice) => self.on_crash_reported(now, notice, actions),
             ForwardEvent::ReplicaListed(entry) => self.list_replica(now, entry, actions),
-            ForwardEvent::ReplicaUnlisted(name) => self.unlist_replica(&name, actions),
+            ForwardEvent::ReplicaUnlisted(name) => self.unlist_replica(now, &name, actions),
             ForwardEvent::TableApplied(index) => self.apply_table(&index),
             ForwardEvent::DaemonsCounted { daemons, others } => {
                 self.registry.set_daemons(now, daemons, others);
@@ -177,6 +177,9 @@
             ForwardEvent::HealthChecked { replica, answered } => {
                 self.on_health_checked(now, replica, answered, actions);
             }
+            ForwardEvent::LeavingNamed { instances } => {
+                self.on_leaving_named(now, &instances, actions);
+            }
             ForwardEvent::RelayPeersListed(peers) => self.helpers.set_peers(peers),
             ForwardEvent::OfferReceived { from, offer } => {
                 self.on_offer(now, &from, offer, actions);
@@ -225,7 +228,7 @@
             .values()
             .filter(|record| record.listed)
         {
-            if record.entry.draining {
+            if !record.is_wanted() {
                 draining += 1;
             } else if record.is_usable(now) {
                 usable += 1;
@@ -303,12 +306,17 @@
             actions.push(ForwardAction::Log(event));
         }
         if let Some(key) = replaced {
-            self.forget_if_unused(key, actions);
+            self.forget_if_unused(now, key, actions);
         }
         self.reach.set_listed(self.registry.listed_count());
     }
 
-    fn unlist_replica(&mut self, name: &ReplicaName, actions: &mut Vec<ForwardAction>) {
+    fn unlist_replica(
+        &mut self,
+        now: TimePoint,
+        name: &ReplicaName,
+        actions: &mut Vec<ForwardAction>,
+    ) {
         let Some(key) = self.registry.unlist(name) else {
             return;
         };
@@ -316,12 +324,17 @@
         actions.push(ForwardAction::Log(LoggedEvent::ReplicaUnlisted { replica }));
         self.reach.forget(key);
         self.reach.set_listed(self.registry.listed_count());
-        self.forget_if_unused(key, actions);
+        self.forget_if_unused(now, key, actions);
     }
 
     /// Forgets a replica that has left the directory once it has no attempt in flight.
-    pub(super) fn forget_if_unused(&mut self, key: ReplicaKey, actions: &mut Vec<ForwardAction>) {
-        if self.registry.remove_if_unused(key) {
+    pub(super) fn forget_if_unused(
+        &mut self,
+        now: TimePoint,
+        key: ReplicaKey,
+        actions: &mut Vec<ForwardAction>,
+    ) {
+        if self.registry.remove_if_unused(now, key) {
             actions.push(ForwardAction::Forget { replica: key });
         }
     }
--- a/policy/src/forward/forward_event.rs
+++ b/policy/src/forward/forward_event.rs
@@ -96,6 +96,11 @@
         /// Whether a complete reply came, whatever it says.
         answered: bool,
     },
+    /// Another daemon, which answered a relayed request, named replicas that leave.
+    LeavingNamed {
+        /// The replicas, see [`schema::ReplicaEntry::instance`].
+        instances: Vec<u64>,
+    },
     /// The other live daemons changed, which may forward requests for this one.
     RelayPeersListed(Vec<RelayPeer>),
     /// Another daemon was asked how many requests it takes, and answered or did not.
--- a/policy/src/forward/forward_reply.rs
+++ b/policy/src/forward/forward_reply.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 
-use super::LimitStatement;
+use super::ReplicaStatements;
 
 /// A complete reply of a replica.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -17,8 +17,8 @@
     pub moved: bool,
     /// The replica's signature, if the reply has one.
     pub stamp: Option<CompactString>,
-    /// What the replica says about the requests that it takes.
-    pub limit: LimitStatement,
+    /// What the replica says of itself.
+    pub statements: ReplicaStatements,
     /// The response body; for a gather, the shard's records.
     pub body: Bytes,
 }
--- a/policy/src/forward/forward_status.rs
+++ b/policy/src/forward/forward_status.rs
@@ -14,7 +14,8 @@
 /// Counts for the metrics.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ForwardStatus {
-    /// Number of listed replicas by state: `usable`, `draining`, or `avoided` during the backoff
+    /// Number of listed replicas by state: `usable`, `draining` (by the directory or by their own
+    /// replies), or `avoided` during the backoff
     /// after a failed connection.
     pub replicas: [(&'static str, usize); 3],
     /// Hedges and retries that the retry budget of each service still allows.
--- a/policy/src/forward/logged_event.rs
+++ b/policy/src/forward/logged_event.rs
@@ -17,7 +17,8 @@
 use super::{
     LinkLoss,
     RelayOutcome,
-    RelayRefusal, //
+    RelayRefusal,
+    UnreadableStatement, //
 };
 
 /// An event for the log. Some of them are counted in metrics too.
@@ -151,6 +152,24 @@
         /// Time until this daemon may send the replica a further request.
         wait: Duration,
     },
+    /// A replica said in a reply that it leaves.
+    ReplicaLeaving {
+        /// The replica.
+        replica: ReplicaName,
+        /// The service to which the replica belongs.
+        service: ServiceName,
+        /// Whether the directory lists it as draining already.
+        listed_as_draining: bool,
+    },
+    /// A replica made a statement about itself that can't be read.
+    StatementUnreadable {
+        /// The replica.
+        replica: ReplicaName,
+        /// The service to which the replica belongs.
+        service: ServiceName,
+        /// The statement.
+        statement: UnreadableStatement,
+    },
     /// A replica was added to the directory, was listed again, or started or stopped draining.
     ReplicaListed {
         /// The replica's name in the directory.
--- a/policy/src/forward/mod.rs
+++ b/policy/src/forward/mod.rs
@@ -48,6 +48,7 @@
 mod replica_limit;
 mod replica_record;
 mod replica_registry;
+mod replica_statements;
 mod request_completion;
 mod request_identity;
 mod request_part;
@@ -56,6 +57,8 @@
 mod route_state;
 mod seen_crash;
 mod service_state;
+mod statement_evidence;
+mod statement_table;
 mod token_bucket;
 mod weighted_balancer;
 
@@ -101,6 +104,10 @@
 pub use replica_choice::PickOutcome;
 pub use replica_record::ReplicaKey;
 pub use replica_registry::ReplicaRegistry;
+pub use replica_statements::{
+    ReplicaStatements,
+    UnreadableStatement, //
+};
 pub use request_identity::RequestIdentity;
 pub use retry_budget::RetryBudget;
 pub use route_index::RouteIndex;
--- a/policy/src/forward/relay_dispatch.rs
+++ b/policy/src/forward/relay_dispatch.rs
@@ -476,9 +476,8 @@
 
     fn next_checked(&self) -> Option<ReplicaKey> {
         let records = self.registry.records.iter();
-        let usable = records.filter(|(key, record)| {
-            record.listed && !record.entry.draining && !self.reach.is_checked(**key)
-        });
+        let usable =
+            records.filter(|(key, record)| record.is_wanted() && !self.reach.is_checked(**key));
         let checked = |service: usize, zone: &schema::ZoneName| {
             let records = self.registry.records.iter();
             let running = records.filter(|(key, _)| self.reach.is_checked(**key));
--- a/policy/src/forward/replica_record.rs
+++ b/policy/src/forward/replica_record.rs
@@ -9,6 +9,8 @@
 };
 use smallvec::SmallVec;
 
+use super::statement_table::KeptStatements;
+
 /// Identifies a replica within this process. A replica that restarts under the same name gets a new
 /// key.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -59,6 +61,8 @@
     pub(super) listed: bool,
     /// Attempts in flight with the times when they were sent, oldest first.
     pub(super) in_flight: SmallVec<[(AttemptId, TimePoint); 4]>,
+    /// What the replica has said of itself.
+    pub(super) statements: KeptStatements,
     /// End of the backoff: the replica gets no new requests before this time.
     pub(super) avoid_until: TimePoint,
     /// End of the warm-up, in which the replica is assumed to need twice the median time.
@@ -84,6 +88,7 @@
             distance_cost_ms: 0.0,
             listed: true,
             in_flight: SmallVec::new(),
+            statements: KeptStatements::default(),
             avoid_until: TimePoint(0),
             last_reply_at: TimePoint(0),
             latency: None,
@@ -101,7 +106,12 @@
 
     /// Whether the replica may get new requests.
     pub(super) fn is_usable(&self, now: TimePoint) -> bool {
-        self.listed && !self.entry.draining && now >= self.avoid_until
+        self.is_wanted() && now >= self.avoid_until
+    }
+
+    /// Whether the replica is listed and does not leave, by its registration or by its own replies.
+    pub(super) fn is_wanted(&self) -> bool {
+        self.listed && !self.entry.draining && self.statements.leaving_since.is_none()
     }
 
     /// Records that an attempt was sent.
--- a/policy/src/forward/replica_registry.rs
+++ b/policy/src/forward/replica_registry.rs
@@ -24,6 +24,7 @@
     limit_table::LimitTable,
     replica_record::ReplicaRecord,
     service_state::ServiceState,
+    statement_table::StatementTable,
     ForwardSettings,
     LatencySketch,
     PartQueue,
@@ -76,6 +77,8 @@
     keys_by_name: BTreeMap<ReplicaName, ReplicaKey>,
     /// Replicas by the number that identifies them to other daemons.
     keys_by_instance: BTreeMap<u64, ReplicaKey>,
+    /// Statements of replicas that are not listed any more.
+    statements: StatementTable,
     /// Limits that replicas name.
     pub(super) limits: LimitTable,
     last_key: u32,
@@ -101,6 +104,7 @@
             service_indexes: BTreeMap::new(),
             keys_by_name: BTreeMap::new(),
             keys_by_instance: BTreeMap::new(),
+            statements: StatementTable::default(),
             last_key: 0,
             started_at: None,
             daemons: 0,
@@ -202,7 +206,9 @@
         let service = self.index_of(&entry.service);
         self.keys_by_name.insert(entry.name.clone(), key);
         self.keys_by_instance.insert(entry.instance(), key);
+        let statements = self.statements.take(entry.instance());
         let mut record = ReplicaRecord::new(now, entry, service);
+        record.statements = statements;
         (record.round_trip_ms, record.distance_cost_ms) = self.distance(&record.entry.zone);
         if record.distance_cost_ms > 0.0 {
             record.distance_cost_ms += self.preference(&record.entry.name) * PREFERENCE_SPREAD_MS;
@@ -288,7 +294,7 @@
     }
 
     /// Removes an unlisted replica without attempts in flight; returns whether it was removed.
-    pub(super) fn remove_if_unused(&mut self, key: ReplicaKey) -> bool {
+    pub(super) fn remove_if_unused(&mut self, now: TimePoint, key: ReplicaKey) -> bool {
         let Some(record) = self.records.get(&key) else {
             return false;
         };
@@ -301,6 +307,7 @@
             .retain(|other| *other != key);
         if let Some(record) = self.records.remove(&key) {
             let instance = record.entry.instance();
+            self.statements.keep(now, instance, record.statements);
             if self.key_of(instance) == Some(key) {
                 self.keys_by_instance.remove(&instance);
             }
--- /dev/null
+++ b/policy/src/forward/replica_statements.rs
@@ -0,0 +1,26 @@
+//! What a replica says of itself in a reply.
+
+use compact_str::CompactString;
+use smallvec::SmallVec;
+
+use super::LimitStatement;
+
+/// The statements of one reply, which hold for the start of the replica that sent it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ReplicaStatements {
+    /// What it says about the requests that it takes from all daemons together.
+    pub limit: LimitStatement,
+    /// Whether it says that it leaves.
+    pub leaving: bool,
+    /// Other statements whose values can't be read. They change nothing.
+    pub unreadable: SmallVec<[UnreadableStatement; 1]>,
+}
+
+/// A statement with a value that can't be read.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct UnreadableStatement {
+    /// What it is about: `leaving`.
+    pub subject: &'static str,
+    /// The value, shortened.
+    pub value: CompactString,
+}
--- a/policy/tests/forward_kit/mod.rs
+++ b/policy/tests/forward_kit/mod.rs
@@ -27,6 +27,7 @@
     RelayRefusal,
     RelayTerms,
     ReplicaKey,
+    ReplicaStatements,
     RequestIdentity,
     RouteIndex,
     SendCommand, //
@@ -81,6 +82,10 @@
     pub(crate) status: u16,
     /// Whether the replies have a signature.
     pub(crate) signed: bool,
+    /// What the replica says of itself in each reply.
+    pub(crate) statements: ReplicaStatements,
+    /// When the replica started.
+    pub(crate) born_ms: u64,
 }
 
 impl Default for ReplicaModel {
@@ -99,6 +104,8 @@
             breaks_pct: 0,
             status: 200,
             signed: true,
+            statements: ReplicaStatements::default(),
+            born_ms: 1,
         }
     }
 }
@@ -158,6 +165,7 @@
 pub(crate) struct SentAttempt {
     pub(crate) sent_at: TimePoint,
     pub(crate) service: String,
+    pub(crate) replica: String,
     /// The daemon that sent the attempt, and its request.
     pub(crate) request: (usize, QueryId),
     /// Whether the attempt is a hedge or a retry.
@@ -326,6 +334,22 @@
         }
     }
 
+    /// Lists a replica again, with what its model says now.
+    pub(crate) fn list(&mut self, name: &str) {
+        let entry = entry_of(&self.services[name].clone(), name, &self.models[name]);
+        for daemon in 0..self.engines.len() {
+            self.notify_engine(daemon, ForwardEvent::ReplicaListed(entry.clone()));
+        }
+    }
+
+    /// Removes a replica from the directory.
+    pub(crate) fn unlist(&mut self, name: &str) {
+        for daemon in 0..self.engines.len() {
+            let name = name.parse().unwrap();
+            self.notify_engine(daemon, ForwardEvent::ReplicaUnlisted(name));
+        }
+    }
+
     /// Marks a replica as draining in the directory.
     pub(crate) fn drain(&mut self, name: &str) {
         let mut entry = entry_of(&self.services[name].clone(), name, &self.models[name]);
@@ -520,6 +544,7 @@
         self.sent_attempts.push(SentAttempt {
             sent_at: self.now,
             service,
+            replica: name.clone(),
             request: (daemon, command.query),
             extra: command.extra,
         });
@@ -646,19 +671,22 @@
             PlannedEvent::Arrives(daemon, attempt, name) => self.accept(daemon, attempt, &name),
             PlannedEvent::WorkEnds(daemon, attempt, name) => self.finish(daemon, attempt, &name),
             PlannedEvent::Reports(daemon, attempt, outcome) => {
-                if self.in_flight.remove(&(daemon, attempt)).is_none() {
+                let Some(command) = self.in_flight.remove(&(daemon, attempt)) else {
                     return;
-                }
+                };
+                let statements = self.models[command.name.as_str()].statements.clone();
                 let event = match outcome {
                     Outcome::Replied(status, signed) => {
                         let mut reply = reply_of(attempt, status);
                         reply.stamp = reply.stamp.filter(|_| signed);
+                        reply.statements = statements;
                         ForwardEvent::Replied { attempt, reply }
                     }
                     Outcome::NotRun => ForwardEvent::Replied {
                         attempt,
                         reply: ForwardReply {
                             not_run: true,
+                            statements,
                             ..reply_of(attempt, 503)
                         },
                     },
@@ -828,7 +856,7 @@
         slots: u32::try_from(model.slots).unwrap(),
         draining: false,
         cold_left: Duration::ZERO,
-        born_ms: 1,
+        born_ms: model.born_ms,
     }
 }
 
--- a/policy/tests/limit_bench/mod.rs
+++ b/policy/tests/limit_bench/mod.rs
@@ -18,6 +18,7 @@
     ForwardSettings,
     LimitStatement,
     LoggedEvent,
+    ReplicaStatements,
     RequestIdentity,
     RouteIndex,
     SendCommand, //
@@ -450,7 +451,10 @@
     ForwardReply {
         status,
         stamp: Some("stamp".into()),
-        limit,
+        statements: ReplicaStatements {
+            limit,
+            ..ReplicaStatements::default()
+        },
         body: vec![1; 16].into(),
         ..ForwardReply::default()
     }
