Leave a replica alone while it wants a rest

Cause: nothing read Retry-After of a replica. Its failures made it dear for a while, so that it got few requests, but nothing kept them below a number.

Change: RestPeriod is read from replies with status 503 and taken over beside the other statements. The replica is not usable until the latest end it has named and a random tenth more, for first attempts, retries, hedges, queued parts, health checks and connections ahead of need; after that it gets one request at a time until it has served one. Where all replicas of too many services rest, the request is refused at once with the time until the first is back (result resting). The status lists leaving and resting replicas.

--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -159,6 +159,8 @@
     /// A replica made a statement about itself that can't be read.
     STATEMENT_UNREADABLE = "E7029" Warning
         "statement of a replica about itself can't be read; ignoring it";
+    /// A replica turned a request away and wants a rest from this daemon.
+    REPLICA_RESTS = "E7030" Info "replica wants a rest; sending it no requests until its end";
 }
 
 /// Logs an event of the catalogue with its code and the given fields:
--- a/daemon/src/forward/forward_log.rs
+++ b/daemon/src/forward/forward_log.rs
@@ -264,6 +264,14 @@
                 "replica" => %replica, "service" => %service,
                 "listed_as_draining" => *listed_as_draining,
             ),
+            LoggedEvent::ReplicaRests {
+                replica,
+                service,
+                period,
+            } => log_event!(
+                logger, events::REPLICA_RESTS,
+                "replica" => %replica, "service" => %service, "period_ms" => millis(*period),
+            ),
             LoggedEvent::StatementUnreadable {
                 replica,
                 service,
--- a/daemon/src/forward/forward_loop_status.rs
+++ b/daemon/src/forward/forward_loop_status.rs
@@ -1,5 +1,7 @@
 //! Builds the reply to `/status`.
 
+use std::time::Duration;
+
 use schema::{
     DaemonName,
     ReplicaName,
@@ -10,10 +12,22 @@
 use super::forward_loop::ForwardLoop;
 use crate::status_body::{
     LimitStatus,
+    RestStatus,
     StatusBody,
     StrandedStatus, //
 };
 
+fn rest_status((replica, left): &(ReplicaName, Duration)) -> RestStatus {
+    RestStatus {
+        replica: replica.to_string(),
+        left_ms: millis(*left),
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 impl ForwardLoop {
     /// The state of the daemon. What exists only on the own interface is left empty.
     pub(super) fn status(&self, now: TimePoint) -> StatusBody {
@@ -36,10 +50,12 @@
             },
             stranded: status.lost_links.map(|(loss, lost_for)| StrandedStatus {
                 evidence: loss.as_str().into(),
-                lost_for_ms: u64::try_from(lost_for.as_millis()).unwrap_or(u64::MAX),
+                lost_for_ms: millis(lost_for),
                 helpers: status.helpers.iter().map(DaemonName::to_string).collect(),
             }),
             relayed: status.relayed as u64,
+            draining: status.leaving.iter().map(ReplicaName::to_string).collect(),
+            resting: status.resting.iter().map(rest_status).collect(),
             limits: status.limits.into_iter().map(limit_status).collect(),
             ..StatusBody::default()
         }
--- a/daemon/src/forward/replica_exchange.rs
+++ b/daemon/src/forward/replica_exchange.rs
@@ -18,7 +18,10 @@
     ReplicaStatements,
     UnreadableStatement, //
 };
-use schema::RequestRate;
+use schema::{
+    RequestRate,
+    RestPeriod, //
+};
 use smallvec::SmallVec;
 
 use super::exchange_call::ExchangeCall;
@@ -132,7 +135,7 @@
             not_run: marks.not_run,
             moved: marks.moved,
             stamp: marks.stamp,
-            statements: statements_of(marks.limit, marks.leaving),
+            statements: statements_of(marks.limit, marks.leaving, marks.rest),
             body: body.clone(),
         }),
         reply: Some(ReplicaReply { head, body }),
@@ -144,28 +147,38 @@
 fn statements_of(
     limit: Option<Result<RequestRate, UnreadableValue>>,
     leaving: Option<Result<bool, UnreadableValue>>,
+    rest: Option<Result<RestPeriod, UnreadableValue>>,
 ) -> ReplicaStatements {
     let mut unreadable = SmallVec::new();
-    let mut read_or_note = |subject, value: Option<Result<bool, UnreadableValue>>| match value {
-        Some(Ok(value)) => Some(value),
-        Some(Err(UnreadableValue(value))) => {
-            unreadable.push(UnreadableStatement { subject, value });
-            None
-        }
-        None => None,
-    };
-    let leaving = read_or_note("leaving", leaving).unwrap_or(false);
+    let leaving = read_or_note("leaving", leaving, &mut unreadable);
+    let rest = read_or_note("rest", rest, &mut unreadable);
     ReplicaStatements {
         limit: match limit {
             None => LimitStatement::Unlimited,
             Some(Ok(limit)) => LimitStatement::Limited(limit),
             Some(Err(UnreadableValue(value))) => LimitStatement::Unreadable(value),
         },
-        leaving,
+        leaving: leaving.unwrap_or(false),
+        rest,
         unreadable,
     }
 }
 
+/// The value of a statement, if it can be read; otherwise notes it.
+fn read_or_note<T>(
+    subject: &'static str,
+    value: Option<Result<T, UnreadableValue>>,
+    unreadable: &mut SmallVec<[UnreadableStatement; 1]>,
+) -> Option<T> {
+    match value? {
+        Ok(value) => Some(value),
+        Err(UnreadableValue(value)) => {
+            unreadable.push(UnreadableStatement { subject, value });
+            None
+        }
+    }
+}
+
 /// How long an idle connection may be used again: less than the time after which the replica closes
 /// it, so that a request in transit does not meet a closed connection.
 fn idle_limit(head: &response::Parts) -> Option<Duration> {
--- a/daemon/src/status_body.rs
+++ b/daemon/src/status_body.rs
@@ -47,12 +47,24 @@
     pub quarantined: Vec<String>,
     /// Limits that replicas name.
     pub limits: Vec<LimitStatus>,
+    /// Replicas that want a rest from this daemon.
+    pub resting: Vec<RestStatus>,
     /// How the daemon has lost its links to all replicas, if it has.
     pub stranded: Option<StrandedStatus>,
     /// Requests of other daemons in flight here.
     pub relayed: u64,
 }
 
+/// The rest that a replica wants.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default)]
+pub struct RestStatus {
+    /// Name of the replica.
+    pub replica: String,
+    /// Time until the daemon sends it a request again, in milliseconds.
+    pub left_ms: u64,
+}
+
 /// A daemon that has lost its links to all replicas.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default)]
--- a/daemon/tests/forward_statements.rs
+++ b/daemon/tests/forward_statements.rs
@@ -20,11 +20,14 @@
 };
 use platform_standin::{
     FakeReplica,
+    ReplicaFault,
     RouteText, //
 };
 
 /// Time after a reply that says so from which a leaving replica gets no new requests (`drainMs`).
 const DRAIN_PERIOD: Duration = Duration::from_secs(3);
+/// Rest that the replica of these tests wants.
+const REST_PERIOD: Duration = Duration::from_secs(3);
 
 /// A near and a far replica of one service, and a daemon.
 fn two_replicas() -> (ForwardCluster, [FakeReplica; 2], DaemonProcess) {
@@ -75,4 +78,75 @@
         "requests later than {DRAIN_PERIOD:?} after the reply"
     );
     assert!(daemon.log().contains("E7028"));
+    assert!(daemon.status().contains("\"draining\":[\"i-near\"]"));
+}
+
+/// Guards against requests that reach a replica which has turned one away and named a time until which it
+/// wants none (issue 25, BUDGET).
+#[test]
+fn a_replica_that_wants_a_rest_gets_it() {
+    let (_cluster, [near, _far], daemon) = two_replicas();
+    near.set_fault(ReplicaFault::Sheds);
+    near.set_headers(&[("retry-after", "3")]);
+    let before = near.arrivals().len();
+    // A daemon alone has no retry budget at first, so that the requests which are turned away fail.
+    assert!(send_for(&daemon, REST_PERIOD * 2) <= 3);
+    let arrivals = near.arrivals();
+    let turned_away_at = arrivals[before];
+    let within = |at: &&Instant| {
+        let age = at.duration_since(turned_away_at);
+        age > Duration::from_millis(500) && age < REST_PERIOD
+    };
+    let count = arrivals[before..].iter().filter(within).count();
+    assert!(count <= 2, "{count} requests within the rest");
+    assert!(daemon.log().contains("E7030"));
+    assert!(daemon
+        .metrics()
+        .contains("forward_replicas{state=\"resting\"}"));
+}
+
+/// Guards against requests that wait or fail late where all replicas want a rest: they are refused at
+/// once with the time until the first is back.
+#[test]
+fn requests_are_refused_at_once_where_all_replicas_rest() {
+    let (_cluster, replicas, daemon) = two_replicas();
+    for replica in &replicas {
+        replica.set_fault(ReplicaFault::Sheds);
+        replica.set_headers(&[("retry-after", "2.5")]);
+    }
+    wait_for("both replicas rest", || {
+        get(&daemon, "/one/x", "probe");
+        daemon.log().matches("E7030").count() >= 2
+    });
+    assert!(daemon.status().contains("\"resting\":[{\"replica\":\"i-"));
+    let start = Instant::now();
+    let reply = get(&daemon, "/one/x", "refused");
+    assert!(start.elapsed() < Duration::from_millis(200));
+    assert_eq!(reply.status, 503);
+    let seconds: f64 = reply.header("retry-after").parse().unwrap();
+    assert!((0.5..=3.0).contains(&seconds), "{seconds}");
+}
+
+/// Guards against a value that can't be read and changes what is believed, or is not logged.
+#[test]
+fn unreadable_statements_change_nothing_and_are_logged() {
+    let (_cluster, [near, _far], daemon) = two_replicas();
+    near.set_fault(ReplicaFault::Sheds);
+    let values = [
+        "Wed, 21 Oct 2026 07:28:00 GMT",
+        "-1",
+        "NaN",
+        "1e30",
+        "999999999",
+        "",
+    ];
+    for value in values {
+        near.set_headers(&[("retry-after", value), ("server-leaving", "maybe")]);
+        get(&daemon, "/one/x", "unreadable");
+    }
+    near.set_headers(&[("retry-after", "9"), ("retry-after", "9")]);
+    get(&daemon, "/one/x", "unreadable");
+    wait_for("the values are logged", || daemon.log().contains("E7029"));
+    assert!(near.arrivals().len() >= 2);
+    assert!(!daemon.log().contains("E7028") && !daemon.log().contains("E7030"));
 }
--- a/policy/src/forward/attempt_dispatch.rs
+++ b/policy/src/forward/attempt_dispatch.rs
@@ -19,6 +19,7 @@
     LoggedEvent,
     PickOutcome,
     QueuedPart,
+    RefusalReason,
     ReplicaKey,
     SendCommand, //
 };
@@ -179,6 +180,9 @@
             request.parts[index].check_at = now + RECHECK_INTERVAL;
             return;
         }
+        if let Some(until) = self.registry.rest_end(now, request.parts[index].service) {
+            request.hold_until(until, RefusalReason::Resting);
+        }
         request.parts[index].state = PartState::Failed;
     }
 
--- a/policy/src/forward/forward_answer.rs
+++ b/policy/src/forward/forward_answer.rs
@@ -21,6 +21,8 @@
     Overload,
     /// The replicas have reached the limits that they name.
     Limited,
+    /// The replicas want a rest.
+    Resting,
     /// Replicas failed the request or broke the connection.
     UpstreamFailed,
     /// Fewer shards replied than the route needs.
@@ -40,6 +42,7 @@
             Self::NoReplica => "no_replica",
             Self::Overload => "overload",
             Self::Limited => "limited",
+            Self::Resting => "resting",
             Self::UpstreamFailed => "upstream_failed",
             Self::FewShards => "few_shards",
             Self::Deadline => "deadline",
--- a/policy/src/forward/forward_engine.rs
+++ b/policy/src/forward/forward_engine.rs
@@ -35,10 +35,8 @@
     reach_monitor::ReachMonitor,
     relay_dispatch::RelayContext,
     relay_intake::RelayIntake,
-    request_part::{
-        PartState,
-        RequestPart, //
-    },
+    request_completion::HELD_RETRY_AFTER_MIN,
+    request_part::PartState,
     route_state::RouteState,
     CrashTable,
     ForwardAction,
@@ -221,17 +219,21 @@
 
     /// Current counts for the metrics.
     pub fn status(&self, now: TimePoint) -> ForwardStatus {
-        let (mut usable, mut draining, mut avoided) = (0, 0, 0);
+        let (mut usable, mut avoided) = (0, 0);
+        let (mut leaving, mut resting) = (Vec::new(), Vec::new());
         for record in self
             .registry
             .records
             .values()
             .filter(|record| record.listed)
         {
+            let rest_until = record.statements.rest_until;
             if !record.is_wanted() {
-                draining += 1;
+                leaving.push(record.entry.name.clone());
             } else if record.is_usable(now) {
                 usable += 1;
+            } else if now < rest_until {
+                resting.push((record.entry.name.clone(), rest_until.since(now)));
             } else {
                 avoided += 1;
             }
@@ -240,9 +242,12 @@
         ForwardStatus {
             replicas: [
                 ("usable", usable),
-                ("draining", draining),
+                ("draining", leaving.len()),
                 ("avoided", avoided),
+                ("resting", resting.len()),
             ],
+            leaving,
+            resting,
             budgets: services
                 .map(|state| (state.name.clone(), state.budget.remaining() as u32))
                 .collect(),
@@ -377,14 +382,7 @@
             self.complete_or_schedule(now, query, actions);
             return;
         }
-        let usable = |part: &&RequestPart| {
-            part.state == PartState::Open && self.registry.has_usable_replica(now, part.service)
-        };
-        if request.parts.iter().filter(usable).count() < request.needed {
-            let answer = ForwardAnswer::NotRun {
-                reason: RefusalReason::NoReplica,
-                retry_after: NO_REPLICA_RETRY_AFTER,
-            };
+        if let Some(answer) = self.refuse_unserved(now, &request) {
             actions.push(ForwardAction::Answer { query, answer });
             return;
         }
@@ -413,6 +411,33 @@
         self.complete_or_schedule(now, query, actions);
     }
 
+    /// The answer to a request if too few of its services have a usable replica. Where enough of them
+    /// only rest, it names the time until they are back.
+    fn refuse_unserved(&self, now: TimePoint, request: &PendingRequest) -> Option<ForwardAnswer> {
+        let mut usable = 0;
+        let mut rest_ends: SmallVec<[TimePoint; 16]> = SmallVec::new();
+        for part in &request.parts {
+            if part.state != PartState::Open {
+                continue;
+            }
+            if self.registry.has_usable_replica(now, part.service) {
+                usable += 1;
+            } else if let Some(until) = self.registry.rest_end(now, part.service) {
+                rest_ends.push(until);
+            }
+        }
+        let missing = request.needed.checked_sub(usable + 1)?;
+        rest_ends.sort_unstable();
+        let (reason, retry_after) = match rest_ends.get(missing) {
+            Some(until) => (RefusalReason::Resting, until.since(now)),
+            None => (RefusalReason::NoReplica, NO_REPLICA_RETRY_AFTER),
+        };
+        Some(ForwardAnswer::NotRun {
+            reason,
+            retry_after: retry_after.max(HELD_RETRY_AFTER_MIN),
+        })
+    }
+
     /// If the queues of too many services are too long for the request to meet its goal, returns
     /// the time after which the caller should retry.
     pub(super) fn overload_retry_after(
--- a/policy/src/forward/limit_evidence.rs
+++ b/policy/src/forward/limit_evidence.rs
@@ -14,7 +14,7 @@
     forward_engine::AttemptContext,
     limit_table::LimitChange,
     pending_request::PendingRequest,
-    request_completion::LIMIT_RETRY_AFTER_MIN,
+    request_completion::HELD_RETRY_AFTER_MIN,
     request_part::PartState,
     ForwardAction,
     ForwardAnswer,
@@ -133,7 +133,7 @@
             query: request.query,
             answer: ForwardAnswer::NotRun {
                 reason: RefusalReason::Limited,
-                retry_after: wait.clamp(LIMIT_RETRY_AFTER_MIN, WAIT_MAX),
+                retry_after: wait.clamp(HELD_RETRY_AFTER_MIN, WAIT_MAX),
             },
         });
         true
@@ -167,7 +167,7 @@
         }
         part.check_at = TimePoint::NEVER;
         part.state = PartState::Failed;
-        request.limited_until = request.limited_until.min(Some(until)).or(Some(until));
+        request.hold_until(until, RefusalReason::Limited);
         self.log_held_back(now, request.query, key, "left_out", actions);
     }
 
--- a/policy/src/forward/logged_event.rs
+++ b/policy/src/forward/logged_event.rs
@@ -161,6 +161,15 @@
         /// Whether the directory lists it as draining already.
         listed_as_draining: bool,
     },
+    /// A replica turned a request away and wants a rest from this daemon.
+    ReplicaRests {
+        /// The replica.
+        replica: ReplicaName,
+        /// The service to which the replica belongs.
+        service: ServiceName,
+        /// Time until this daemon sends it a request again.
+        period: Duration,
+    },
     /// A replica made a statement about itself that can't be read.
     StatementUnreadable {
         /// The replica.
--- a/policy/src/forward/pending_request.rs
+++ b/policy/src/forward/pending_request.rs
@@ -21,6 +21,7 @@
         RequestPart, //
     },
     ForwardAnswer,
+    RefusalReason,
     RelayTerms,
     RequestIdentity,
     RouteIndex, //
@@ -77,8 +78,8 @@
     pub(super) needed: usize,
     /// When the request may run again, if it was stopped because it crashed replicas.
     pub(super) refused_until: Option<TimePoint>,
-    /// When a replica whose limit holds back a part takes a request again.
-    pub(super) limited_until: Option<TimePoint>,
+    /// When a replica takes a request again whose limit or rest holds back a part, and which of them.
+    pub(super) held_until: Option<(TimePoint, RefusalReason)>,
     /// When the caller stops waiting; `None` if it sent no deadline.
     pub(super) deadline: Option<TimePoint>,
     /// Whether another daemon forwards it.
@@ -118,7 +119,7 @@
             parts: Vec::new(),
             needed: 1,
             refused_until: None,
-            limited_until: None,
+            held_until: None,
             deadline: None,
             relay: RelayState::Direct,
             helpers_tried: SmallVec::new(),
@@ -181,6 +182,13 @@
         matches!(self.spec().target, RouteTarget::Gather { .. })
     }
 
+    /// Records that a part fails because of the limit or the rest of a replica, which ends at `until`.
+    pub(super) fn hold_until(&mut self, until: TimePoint, reason: RefusalReason) {
+        if self.held_until.is_none_or(|(earliest, _)| until < earliest) {
+            self.held_until = Some((until, reason));
+        }
+    }
+
     /// Number of parts with a usable reply.
     pub(super) fn done_parts(&self) -> usize {
         let done = |part: &&RequestPart| matches!(part.state, PartState::Done { .. });
--- a/policy/src/forward/relay_dispatch.rs
+++ b/policy/src/forward/relay_dispatch.rs
@@ -104,7 +104,7 @@
     pub(super) fn check_links(&mut self, now: TimePoint, actions: &mut Vec<ForwardAction>) {
         if self.reach.next_wakeup() <= now {
             let count = self.reach.checks_due(now);
-            self.start_checks(count, actions);
+            self.start_checks(now, count, actions);
             self.reach.end_unchecked(now);
             if self.reach.turn_silent(now) {
                 self.hand_over_pending(now, LinkLoss::Silent, actions);
@@ -456,10 +456,10 @@
 
     /// Starts health checks of `count` replicas: of different services and data centres where possible,
     /// those that have shown no sign of a loss first.
-    fn start_checks(&mut self, count: usize, actions: &mut Vec<ForwardAction>) {
+    fn start_checks(&mut self, now: TimePoint, count: usize, actions: &mut Vec<ForwardAction>) {
         let mut left = count;
         while left > 0 {
-            let Some(key) = self.next_checked() else {
+            let Some(key) = self.next_checked(now) else {
                 return;
             };
             left -= 1;
@@ -474,10 +474,12 @@
         }
     }
 
-    fn next_checked(&self) -> Option<ReplicaKey> {
+    fn next_checked(&self, now: TimePoint) -> Option<ReplicaKey> {
         let records = self.registry.records.iter();
-        let usable =
-            records.filter(|(key, record)| record.is_wanted() && !self.reach.is_checked(**key));
+        let usable = records.filter(|(key, record)| {
+            let rests = now < record.statements.rest_until;
+            record.is_wanted() && !rests && !self.reach.is_checked(**key)
+        });
         let checked = |service: usize, zone: &schema::ZoneName| {
             let records = self.registry.records.iter();
             let running = records.filter(|(key, _)| self.reach.is_checked(**key));
--- a/policy/src/forward/replica_choice.rs
+++ b/policy/src/forward/replica_choice.rs
@@ -19,6 +19,9 @@
 
 /// Range of the random cost that spreads requests over equal replicas in the same data centre.
 const RANDOM_SPREAD_MS: f64 = 1.0;
+/// Cost of waiting for a replica that serves one request after a rest, over another one, in milliseconds.
+const TRIAL_COST_MS: f64 = 150.0;
+
 /// Result of choosing a replica for an attempt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum PickOutcome {
@@ -60,8 +63,13 @@
             }
             // Waiting for a replica whose connections are all in use can still be faster than
             // another replica.
-            let busy = record.in_flight.len() >= limit;
-            let wait_ms = if busy { median_ms } else { 0.0 };
+            let on_trial = record.is_on_trial();
+            let busy = record.in_flight.len() >= limit || on_trial;
+            let wait_ms = match busy {
+                true if on_trial => median_ms + TRIAL_COST_MS,
+                true => median_ms,
+                false => 0.0,
+            };
             let random_cost = match record.distance_cost_ms > 0.0 {
                 true => 0.0,
                 false => self.random.random_range(0.0..RANDOM_SPREAD_MS),
@@ -108,7 +116,22 @@
             return false;
         };
         let limit = self.connection_limit(self.services[record.service].max_connections);
-        record.is_usable(now) && record.in_flight.len() < limit
+        record.is_usable(now) && record.in_flight.len() < limit && !record.is_on_trial()
+    }
+
+    /// When a replica of `service` is usable again that rests, if all those rest that don't leave.
+    pub(super) fn rest_end(&self, now: TimePoint, service: usize) -> Option<TimePoint> {
+        let replicas = self.services[service].replicas.iter();
+        let records = replicas.filter_map(|key| self.records.get(key));
+        let mut first: Option<TimePoint> = None;
+        for record in records.filter(|record| record.is_wanted()) {
+            let until = record.statements.rest_until;
+            if until <= now {
+                return None;
+            }
+            first = Some(first.map_or(until, |first| first.min(until)));
+        }
+        first
     }
 
     /// Time until a replica of `service` may get a request of this daemon, and that replica; `None` if
--- a/policy/src/forward/replica_record.rs
+++ b/policy/src/forward/replica_record.rs
@@ -106,7 +106,13 @@
 
     /// Whether the replica may get new requests.
     pub(super) fn is_usable(&self, now: TimePoint) -> bool {
-        self.is_wanted() && now >= self.avoid_until
+        self.is_wanted() && now >= self.avoid_until && now >= self.statements.rest_until
+    }
+
+    /// Whether the replica has to serve the request that it has before it gets another one, because it
+    /// wanted a rest.
+    pub(super) fn is_on_trial(&self) -> bool {
+        self.statements.on_trial && !self.in_flight.is_empty()
     }
 
     /// Whether the replica is listed and does not leave, by its registration or by its own replies.
--- a/policy/src/forward/replica_statements.rs
+++ b/policy/src/forward/replica_statements.rs
@@ -1,6 +1,7 @@
 //! What a replica says of itself in a reply.
 
 use compact_str::CompactString;
+use schema::RestPeriod;
 use smallvec::SmallVec;
 
 use super::LimitStatement;
@@ -12,6 +13,8 @@
     pub limit: LimitStatement,
     /// Whether it says that it leaves.
     pub leaving: bool,
+    /// The rest from this daemon that it asks for.
+    pub rest: Option<RestPeriod>,
     /// Other statements whose values can't be read. They change nothing.
     pub unreadable: SmallVec<[UnreadableStatement; 1]>,
 }
@@ -19,7 +22,7 @@
 /// A statement with a value that can't be read.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct UnreadableStatement {
-    /// What it is about: `leaving`.
+    /// What it is about: `leaving` or `rest`.
     pub subject: &'static str,
     /// The value, shortened.
     pub value: CompactString,
--- a/policy/src/forward/request_completion.rs
+++ b/policy/src/forward/request_completion.rs
@@ -31,8 +31,8 @@
 /// `retry_after` time sent for a request that was not sent for lack of connections or retry budget.
 const UNSENT_RETRY_AFTER: Duration = Duration::from_millis(100);
 
-/// Shortest `retry_after` time sent for a request that the limits of replicas hold back.
-pub(super) const LIMIT_RETRY_AFTER_MIN: Duration = Duration::from_millis(50);
+/// Shortest `retry_after` time sent for a request that limits or rests of replicas hold back.
+pub(super) const HELD_RETRY_AFTER_MIN: Duration = Duration::from_millis(50);
 
 impl ForwardEngine {
     /// Processes the requests whose timer is due and cancels the attempts that have expired.
@@ -213,10 +213,10 @@
             retry_after: until.since(now),
         };
     }
-    if let (false, Some(until)) = (request.may_have_run(), request.limited_until) {
+    if let (false, Some((until, reason))) = (request.may_have_run(), request.held_until) {
         return ForwardAnswer::NotRun {
-            reason: RefusalReason::Limited,
-            retry_after: until.since(now).max(LIMIT_RETRY_AFTER_MIN),
+            reason,
+            retry_after: until.since(now).max(HELD_RETRY_AFTER_MIN),
         };
     }
     if !request.may_have_run() {
--- a/policy/src/forward/statement_table.rs
+++ b/policy/src/forward/statement_table.rs
@@ -18,6 +18,10 @@
 pub(super) struct KeptStatements {
     /// When it first said that it leaves.
     pub(super) leaving_since: Option<TimePoint>,
+    /// When the rest ends that it wants from this daemon.
+    pub(super) rest_until: TimePoint,
+    /// Whether it has not served a request since it wanted a rest. Until then it gets one at a time.
+    pub(super) on_trial: bool,
 }
 
 /// The statements by the number that identifies a replica and its start.
--- a/policy/tests/forward_statements.rs
+++ b/policy/tests/forward_statements.rs
@@ -1,4 +1,4 @@
-//! What replicas say of themselves in their replies: that they leave.
+//! What replicas say of themselves in their replies: that they leave, or want a rest.
 
 #![allow(clippy::unwrap_used)]
 
@@ -16,6 +16,7 @@
 use policy::forward::{
     ForwardAnswer,
     ForwardEvent,
+    LimitStatement,
     LoggedEvent,
     RefusalReason,
     ReplicaStatements,
@@ -57,6 +58,9 @@
     }
 }
 
+/// What makes a replica behave in another way.
+type ModelChange = fn(&mut ReplicaModel);
+
 /// Changes the model of a replica.
 fn change(simulation: &mut ForwardSimulation, name: &str, change: impl Fn(&mut ReplicaModel)) {
     change(simulation.models.get_mut(name).unwrap());
@@ -86,11 +90,11 @@
     let fails = |model: &mut ReplicaModel| model.status = 500;
     let refuses = |model: &mut ReplicaModel| model.refuses_pct = 100;
     let late = |model: &mut ReplicaModel| model.service_time = ms(90);
-    let kinds: [(&str, &dyn Fn(&mut ReplicaModel)); 4] = [
-        ("success", &success),
-        ("failure", &fails),
-        ("refusal", &refuses),
-        ("late", &late),
+    let kinds: [(&str, ModelChange); 4] = [
+        ("success", success),
+        ("failure", fails),
+        ("refusal", refuses),
+        ("late", late),
     ];
     for route in [GATHER, SINGLE] {
         for (kind, make) in kinds {
@@ -201,3 +205,192 @@
     load(&mut other, ms(500));
     assert_eq!(sent_to(&other, "s0-a", TimePoint(0)), 0);
 }
+
+fn rest(seconds: &str) -> ReplicaStatements {
+    ReplicaStatements {
+        rest: Some(seconds.parse().unwrap()),
+        ..ReplicaStatements::default()
+    }
+}
+
+/// Turns all requests at a replica away.
+fn turn_away(simulation: &mut ForwardSimulation, name: &str, statements: &ReplicaStatements) {
+    change(simulation, name, |model| {
+        model.refuses_pct = 100;
+        model.statements = statements.clone();
+    });
+}
+
+/// Requests that reached a replica between half a second after `from` and `until`.
+fn sent_between(
+    simulation: &ForwardSimulation,
+    name: &str,
+    from: TimePoint,
+    until: TimePoint,
+) -> usize {
+    let sent = simulation.sent_attempts.iter().filter(|attempt| {
+        let in_time = attempt.sent_at > from + ms(500) && attempt.sent_at < until;
+        attempt.replica == name && in_time
+    });
+    sent.count()
+}
+
+/// Guards against requests in the rest of a replica (issue 25, BUDGET): first tries, retries and hedges
+/// count, a fraction of a second, too, and of two rests the one that ends last.
+#[test]
+fn a_replica_gets_the_rest_that_it_wants() {
+    for (seconds, length) in [("3", ms(3_000)), ("0.75", ms(750)), ("10.5", ms(10_500))] {
+        let mut simulation = cluster();
+        load(&mut simulation, ms(500));
+        turn_away(&mut simulation, "s0-a", &rest(seconds));
+        let from = simulation.now;
+        load(&mut simulation, length);
+        let sent = sent_between(&simulation, "s0-a", from + ms(20), from + length);
+        assert!(sent <= 2, "{seconds}: {sent} requests");
+        // It gets requests again, one at a time until it serves one.
+        change(&mut simulation, "s0-a", |model| {
+            model.refuses_pct = 0;
+            model.statements = ReplicaStatements::default();
+        });
+        let end = simulation.now;
+        load(&mut simulation, ms(8_000));
+        assert!(sent_to(&simulation, "s0-a", end) > 20, "{seconds}");
+    }
+    let mut simulation = cluster();
+    load(&mut simulation, ms(500));
+    // Two requests are on their way when the first is turned away; the second wants a shorter rest.
+    simulation.send_request(0, SINGLE, ms(2_000));
+    simulation.send_request(0, SINGLE, ms(2_000));
+    turn_away(&mut simulation, "s0-a", &rest("3"));
+    let from = simulation.now;
+    simulation.advance(ms(1));
+    turn_away(&mut simulation, "s0-a", &rest("0.2"));
+    load(&mut simulation, ms(3_000));
+    let sent = sent_between(&simulation, "s0-a", from, from + ms(3_000));
+    assert!(sent <= 2, "{sent} requests");
+}
+
+/// Guards against a rest of no time that counts as one, and against a rest that goes on for a new start
+/// of the replica or is forgotten when its registration expires.
+#[test]
+fn a_rest_holds_for_one_start_of_a_replica() {
+    let mut simulation = cluster();
+    load(&mut simulation, ms(500));
+    change(&mut simulation, "s0-a", |model| {
+        model.statements = rest("0")
+    });
+    let from = simulation.now;
+    load(&mut simulation, ms(1_000));
+    assert!(sent_to(&simulation, "s0-a", from + ms(500)) > 20);
+    turn_away(&mut simulation, "s0-a", &rest("8"));
+    load(&mut simulation, ms(500));
+    let from = simulation.now;
+    simulation.unlist("s0-a");
+    load(&mut simulation, ms(500));
+    simulation.list("s0-a");
+    load(&mut simulation, ms(2_000));
+    assert_eq!(sent_to(&simulation, "s0-a", from), 0);
+    change(&mut simulation, "s0-a", |model| {
+        model.born_ms = 2;
+        model.refuses_pct = 0;
+        model.statements = ReplicaStatements::default();
+    });
+    simulation.list("s0-a");
+    load(&mut simulation, ms(1_000));
+    // The new start is free of what the old one wanted, and of its failures.
+    assert!(sent_to(&simulation, "s0-a", from) > 20);
+}
+
+/// Guards against requests that wait or fail late where all replicas of a service rest, and against a
+/// time to come back that is not that of the first one.
+#[test]
+fn a_service_whose_replicas_all_rest_is_left_out() {
+    let mut simulation = cluster();
+    load(&mut simulation, ms(500));
+    for (zone, seconds) in [("a", "6"), ("b", "4"), ("c", "8")] {
+        turn_away(&mut simulation, &format!("s0-{zone}"), &rest(seconds));
+    }
+    load(&mut simulation, ms(1_000));
+    simulation.advance(ms(500));
+    let all = simulation.send_request(0, GATHER, ms(2_000));
+    let one = simulation.send_request(0, SINGLE, ms(2_000));
+    simulation.advance(ms(500));
+    assert_eq!(simulation.answered_request(all).missing(), Some(1));
+    let one = simulation.answered_request(one);
+    let ForwardAnswer::NotRun {
+        reason,
+        retry_after,
+    } = &one.answer
+    else {
+        panic!("{one:?}");
+    };
+    assert_eq!(*reason, RefusalReason::Resting);
+    assert!(one.latency() < ms(5));
+    assert!(
+        *retry_after > ms(1_800) && *retry_after < ms(3_500),
+        "{retry_after:?}"
+    );
+}
+
+/// Guards against many daemons that come back at once at the end of a rest, and against a daemon that
+/// sends all it has.
+#[test]
+fn nobody_rushes_in_at_the_end_of_a_rest() {
+    let single = RouteTarget::Single("s0".parse().unwrap());
+    let zones = ["a"; 12];
+    let mut simulation = ForwardSimulation::new(&zones, vec![route("one", single)], 200);
+    for name in ["s0-a", "s0-b"] {
+        let model = ReplicaModel {
+            zone: if name == "s0-a" { "a" } else { "b" },
+            service_time: ms(30),
+            slots: 20,
+            queue_limit: 100,
+            ..ReplicaModel::default()
+        };
+        simulation.add("s0", name, model);
+    }
+    simulation.send_load(0, 400, ms(2_000), ms(500));
+    turn_away(&mut simulation, "s0-a", &rest("3"));
+    simulation.send_load(0, 400, ms(2_000), ms(1_000));
+    change(&mut simulation, "s0-a", |model| {
+        model.refuses_pct = 0;
+        model.statements = ReplicaStatements::default();
+    });
+    let from = simulation.now;
+    simulation.send_load(0, 400, ms(2_000), ms(3_500));
+    let back: Vec<TimePoint> = simulation
+        .sent_attempts
+        .iter()
+        .filter(|attempt| attempt.replica == "s0-a" && attempt.sent_at > from)
+        .map(|attempt| attempt.sent_at)
+        .collect();
+    let first = *back.first().unwrap();
+    let within = |period| back.iter().filter(|at| **at < first + period).count();
+    assert!(within(ms(20)) <= 4, "{} in the first 20 ms", within(ms(20)));
+    assert!(within(ms(1_500)) > 100, "{}", within(ms(1_500)));
+}
+
+/// Guards against a rest that a limit hides, or the other way round.
+#[test]
+fn a_rest_and_a_limit_hold_side_by_side() {
+    let mut simulation = cluster();
+    load(&mut simulation, ms(500));
+    let statements = ReplicaStatements {
+        limit: LimitStatement::Limited("20".parse().unwrap()),
+        ..rest("2")
+    };
+    turn_away(&mut simulation, "s0-a", &statements);
+    let from = simulation.now;
+    load(&mut simulation, ms(2_000));
+    assert!(sent_between(&simulation, "s0-a", from + ms(20), from + ms(2_000)) <= 2);
+    change(&mut simulation, "s0-a", |model| {
+        model.refuses_pct = 0;
+        model.statements.rest = None;
+    });
+    load(&mut simulation, ms(1_000));
+    let from = simulation.now;
+    load(&mut simulation, ms(4_000));
+    let sent = sent_to(&simulation, "s0-a", from);
+    // A daemon alone uses the whole limit; the platform allows half as much again.
+    assert!((10..=125).contains(&sent), "{sent} requests in 4 s");
+}
--- a/schema/src/lib.rs
+++ b/schema/src/lib.rs
@@ -48,6 +48,7 @@
 mod query_print;
 mod replica_entry;
 mod request_rate;
+mod rest_period;
 mod route_spec;
 mod route_table;
 mod schema_error;
@@ -111,6 +112,10 @@
     RateError,
     RequestRate, //
 };
+pub use rest_period::{
+    RestError,
+    RestPeriod, //
+};
 pub use route_spec::{
     RouteSpec,
     RouteTarget, //
--- a/schema/src/request_rate.rs
+++ b/schema/src/request_rate.rs
@@ -47,14 +47,19 @@
 impl FromStr for RequestRate {
     type Err = RateError;
 
-    /// Parses digits with an optional fraction. Signs, exponents and names of numbers, which `f64`
-    /// would accept, are no rates.
+    /// Parses digits with an optional fraction. Signs, exponents and names of numbers are no rates.
     fn from_str(text: &str) -> Result<Self, RateError> {
-        let (whole, fraction) = text.split_once('.').unwrap_or((text, "0"));
-        let is_decimal = |text: &str| !text.is_empty() && text.bytes().all(|b| b.is_ascii_digit());
-        if !is_decimal(whole) || !is_decimal(fraction) {
-            return Err(RateError);
-        }
-        text.parse().map_err(|_| RateError).and_then(Self::new)
+        parse_decimal(text).ok_or(RateError).and_then(Self::new)
+    }
+}
+
+/// Parses digits with an optional fraction. `f64` would accept signs, exponents and names of numbers,
+/// too.
+pub(crate) fn parse_decimal(text: &str) -> Option<f64> {
+    let (whole, fraction) = text.split_once('.').unwrap_or((text, "0"));
+    let is_decimal = |text: &str| !text.is_empty() && text.bytes().all(|b| b.is_ascii_digit());
+    if !is_decimal(whole) || !is_decimal(fraction) {
+        return None;
     }
+    text.parse().ok()
 }
