--- a/daemon/tests/forward_soak.rs
+++ b/daemon/tests/forward_soak.rs
@@ -188,7 +188,7 @@
         let number = u8::try_from(daemon + 1).unwrap();
         let zone = if number < 3 { "z1" } else { "z2" };
         let replica = self.random.random_range(0..self.replicas.len());
-        let kinds = if self.fleets.is_empty() { 22 } else { 16 };
+        let kinds = if self.fleets.is_empty() { 25 } else { 16 };
         match self.random.random_range(0..kinds) {
             0 => {
                 self.daemons[daemon].signal("STOP");
@@ -253,6 +253,18 @@
                 let limit = limits.choose(&mut self.random).unwrap();
                 self.replicas[replica].replica.set_limits(limit);
             }
+            22.. => {
+                let rests: [&[(&str, &str)]; 4] = [
+                    &[],
+                    &[("retry-after", "0.5")],
+                    &[("retry-after", "2")],
+                    &[("retry-after", "soon")],
+                ];
+                let rest = rests.choose(&mut self.random).unwrap();
+                let replica = &self.replicas[replica].replica;
+                replica.set_headers(rest);
+                replica.set_fault(ReplicaFault::Sheds);
+            }
             16.. => {
                 let faults = [
                     LinkFault::None,
@@ -297,6 +309,7 @@
         for proxied in &self.replicas {
             proxied.replica.set_fault(ReplicaFault::None);
             proxied.replica.set_limits(&[]);
+            proxied.replica.set_headers(&[]);
             proxied.proxy.set_fault(LinkFault::None);
             for daemon in &self.daemons {
                 proxied.proxy.set_fault_of(daemon.pid(), LinkFault::None);
--- a/daemon/tests/peering_link.rs
+++ b/daemon/tests/peering_link.rs
@@ -2,31 +2,44 @@
 
 #![allow(clippy::expect_used)]
 
-use std::net::SocketAddr;
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
 
 use daemon::peering::{
     PeerError,
     PeerInput,
     PeerLink,
-    PeerSocket, //
+    PeerSocket,
+    RelayFailure, //
 };
 use schema::{
     peer::{
         stream_body::Body,
         BundleCall,
         BundleReply,
-        DoneReply, //
+        DoneReply,
+        OfferCall,
+        RelayCall, //
     },
     Incarnation,
 };
 use tokio::{
-    io::AsyncWriteExt,
-    net::TcpStream,
+    io::{
+        AsyncReadExt,
+        AsyncWriteExt, //
+    },
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
     sync::mpsc::Receiver,
     task::{
         spawn_local,
         LocalSet, //
-    }, //
+    },
+    time::timeout, //
 };
 
 const KEY: [u8; 32] = [7; 32];
@@ -154,3 +167,73 @@
         assert!(first.call(address, bundle_call(3)).await.is_ok());
     });
 }
+
+fn relay_call() -> Body {
+    Body::RelayCall(RelayCall {
+        body: vec![7; 3 * 1024 * 1024],
+        ..RelayCall::default()
+    })
+}
+
+/// Guards against relayed calls that wait for each other, and against a large body that arrives in part.
+#[test]
+fn relayed_calls_run_side_by_side() {
+    run_local(async {
+        let (_, caller, _inputs) = open_link("a", KEY).await;
+        let (address, _link, mut inputs) = open_link("b", KEY).await;
+        let calls = [1, 2].map(|_| spawn_local(caller.relay(address, relay_call())));
+        let mut replies = Vec::new();
+        while replies.len() < 2 {
+            let Some(PeerInput::Called { body, reply, .. }) = inputs.recv().await else {
+                continue;
+            };
+            assert_eq!(body, relay_call());
+            replies.push(reply);
+        }
+        for reply in replies {
+            reply.send(relay_call()).expect("the caller waits");
+        }
+        for call in calls {
+            assert_eq!(call.await.expect("task"), Ok(relay_call()));
+        }
+    });
+}
+
+/// Guards against work that goes on at a peer for a call that was cancelled.
+#[test]
+fn a_cancelled_relay_is_noticed_by_the_peer() {
+    run_local(async {
+        let (_, caller, _inputs) = open_link("a", KEY).await;
+        let (address, _link, mut inputs) = open_link("b", KEY).await;
+        let call = spawn_local(caller.relay(address, relay_call()));
+        let Some(PeerInput::Called { mut reply, .. }) = inputs.recv().await else {
+            panic!("no call");
+        };
+        call.abort();
+        timeout(Duration::from_secs(5), reply.closed())
+            .await
+            .expect("the peer learns of it");
+    });
+}
+
+/// Guards against a request that is lost with a peer of an older build: that closes the connection at a
+/// message which it does not know, so that it never answers the question which comes before any request.
+#[test]
+fn a_peer_that_does_not_know_the_call_gives_no_answer() {
+    run_local(async {
+        let (_, caller, _inputs) = open_link("a", KEY).await;
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("port");
+        let address = listener.local_addr().expect("address");
+        spawn_local(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let _ = stream.read_u32().await;
+            }
+        });
+        let question = Body::OfferCall(OfferCall::default());
+        let answer = timeout(Duration::from_secs(5), caller.relay(address, question)).await;
+        assert_eq!(answer.expect("in time"), Err(RelayFailure::Broken));
+        let unused = SocketAddr::from(([127, 0, 0, 1], 1));
+        let answer = caller.relay(unused, relay_call()).await;
+        assert_eq!(answer, Err(RelayFailure::Unsent));
+    });
+}
