--- a/daemon/src/forward/mod.rs
+++ b/daemon/src/forward/mod.rs
@@ -5,6 +5,7 @@
 mod caller_reply;
 mod exchange_call;
 mod forward_feed;
+mod forward_gauges;
 mod forward_life;
 mod forward_log;
 mod forward_loop;
--- /dev/null
+++ b/policy/src/forward/arrival_refusal.rs
@@ -0,0 +1,89 @@
+//! Refuses requests on arrival that can't be served in time.
+
+use std::time::Duration;
+
+use schema::TimePoint;
+use smallvec::SmallVec;
+
+use super::{
+    pending_request::{
+        PendingRequest,
+        QUEUE_TIME_SHARE, //
+    },
+    request_completion::HELD_RETRY_AFTER_MIN,
+    request_part::PartState,
+    ForwardAnswer,
+    ForwardEngine,
+    RefusalReason, //
+};
+
+/// Bounds of the `retry_after` time sent to a request that is refused because of long queues.
+const OVERLOAD_RETRY_AFTER_MIN: Duration = Duration::from_millis(20);
+const OVERLOAD_RETRY_AFTER_MAX: Duration = Duration::from_millis(500);
+/// `retry_after` time sent when a service has no replica: a replica restart takes some seconds, a
+/// change in the directory about one second.
+const NO_REPLICA_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+impl ForwardEngine {
+    /// The answer to a request if too few of its services have a usable replica. Where enough of them
+    /// only rest, it names the time until they are back.
+    pub(super) fn refuse_unserved(
+        &self,
+        now: TimePoint,
+        request: &PendingRequest,
+    ) -> Option<ForwardAnswer> {
+        let mut usable = 0;
+        let mut rest_ends: SmallVec<[TimePoint; 16]> = SmallVec::new();
+        for part in &request.parts {
+            if part.state != PartState::Open {
+                continue;
+            }
+            if self.registry.has_usable_replica(now, part.service) {
+                usable += 1;
+            } else if let Some(until) = self.registry.rest_end(now, part.service) {
+                rest_ends.push(until);
+            }
+        }
+        let missing = request.needed.checked_sub(usable + 1)?;
+        rest_ends.sort_unstable();
+        let (reason, retry_after) = match rest_ends.get(missing) {
+            Some(until) => (RefusalReason::Resting, until.since(now)),
+            None => (RefusalReason::NoReplica, NO_REPLICA_RETRY_AFTER),
+        };
+        Some(ForwardAnswer::NotRun {
+            reason,
+            retry_after: retry_after.max(HELD_RETRY_AFTER_MIN),
+        })
+    }
+
+    /// If the queues of too many services are too long for the request to meet its goal, returns
+    /// the time after which the caller should retry.
+    pub(super) fn overload_retry_after(
+        &self,
+        now: TimePoint,
+        request: &PendingRequest,
+    ) -> Option<Duration> {
+        // A request past its goal gains nothing from a refusal, so it may wait.
+        if now >= request.goal_at {
+            return None;
+        }
+        let allowed_wait = request.goal_at.since(now).mul_f64(QUEUE_TIME_SHARE);
+        let mut long_waits: SmallVec<[Duration; 16]> = SmallVec::new();
+        for part in &request.parts {
+            if part.state != PartState::Open {
+                continue;
+            }
+            let wait = self.registry.services[part.service]
+                .queue
+                .expected_wait(now);
+            if wait > allowed_wait {
+                long_waits.push(wait);
+            }
+        }
+        if request.open_parts() - long_waits.len() >= request.needed {
+            return None;
+        }
+        let shortest = long_waits.into_iter().min()?;
+        Some(shortest.clamp(OVERLOAD_RETRY_AFTER_MIN, OVERLOAD_RETRY_AFTER_MAX))
+    }
+}
--- a/policy/src/forward/forward_engine.rs
+++ b/policy/src/forward/forward_engine.rs
@@ -28,14 +28,10 @@
 use super::{
     crash_probes::CrashProbes,
     helper_table::HelperTable,
-    pending_request::{
-        PendingRequest,
-        QUEUE_TIME_SHARE, //
-    },
+    pending_request::PendingRequest,
     reach_monitor::ReachMonitor,
     relay_dispatch::RelayContext,
     relay_intake::RelayIntake,
-    request_completion::HELD_RETRY_AFTER_MIN,
     request_part::PartState,
     route_state::RouteState,
     CrashTable,
@@ -44,7 +40,6 @@
     ForwardCall,
     ForwardEvent,
     ForwardSettings,
-    ForwardStatus,
     LoggedEvent,
     RefusalReason,
     ReplicaKey,
@@ -59,13 +54,6 @@
 const GOAL_MARGIN: Duration = Duration::from_millis(20);
 /// Margin before the caller's deadline, so that the last possible answer still reaches the caller.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(20);
-/// Bounds of the `retry_after` time sent to a request that is refused because of long queues.
-const OVERLOAD_RETRY_AFTER_MIN: Duration = Duration::from_millis(20);
-const OVERLOAD_RETRY_AFTER_MAX: Duration = Duration::from_millis(500);
-/// `retry_after` time sent when a service has no replica: a replica restart takes some seconds, a
-/// change in the directory about one second.
-const NO_REPLICA_RETRY_AFTER: Duration = Duration::from_millis(500);
-
 /// An attempt in flight.
 #[derive(Clone, Debug)]
 pub(super) struct AttemptContext {
@@ -217,56 +205,6 @@
         self.requests.len()
     }
 
-    /// Current counts for the metrics.
-    pub fn status(&self, now: TimePoint) -> ForwardStatus {
-        let (mut usable, mut avoided) = (0, 0);
-        let (mut leaving, mut resting) = (Vec::new(), Vec::new());
-        for record in self
-            .registry
-            .records
-            .values()
-            .filter(|record| record.listed)
-        {
-            let rest_until = record.statements.rest_until;
-            if !record.is_wanted() {
-                leaving.push(record.entry.name.clone());
-            } else if record.is_usable(now) {
-                usable += 1;
-            } else if now < rest_until {
-                resting.push((record.entry.name.clone(), rest_until.since(now)));
-            } else {
-                avoided += 1;
-            }
-        }
-        let services = self.registry.services.iter();
-        ForwardStatus {
-            replicas: [
-                ("usable", usable),
-                ("draining", leaving.len()),
-                ("avoided", avoided),
-                ("resting", resting.len()),
-            ],
-            leaving,
-            resting,
-            budgets: services
-                .map(|state| (state.name.clone(), state.budget.remaining() as u32))
-                .collect(),
-            waiting: self
-                .requests
-                .values()
-                .map(PendingRequest::queued_parts)
-                .sum(),
-            quarantined: self.crashes.refused_count(now),
-            limits: self.registry.named_limits(),
-            lost_links: self
-                .reach
-                .lost()
-                .map(|(loss, since)| (loss, now.since(since))),
-            helpers: self.helpers.names(now),
-            relayed: self.intake.in_flight as usize,
-        }
-    }
-
     /// The crashes that a daemon which joins has to know.
     pub fn crash_notices(&self) -> Vec<CrashNotice> {
         self.crashes.sync_notices()
@@ -411,64 +349,6 @@
         self.complete_or_schedule(now, query, actions);
     }
 
-    /// The answer to a request if too few of its services have a usable replica. Where enough of them
-    /// only rest, it names the time until they are back.
-    fn refuse_unserved(&self, now: TimePoint, request: &PendingRequest) -> Option<ForwardAnswer> {
-        let mut usable = 0;
-        let mut rest_ends: SmallVec<[TimePoint; 16]> = SmallVec::new();
-        for part in &request.parts {
-            if part.state != PartState::Open {
-                continue;
-            }
-            if self.registry.has_usable_replica(now, part.service) {
-                usable += 1;
-            } else if let Some(until) = self.registry.rest_end(now, part.service) {
-                rest_ends.push(until);
-            }
-        }
-        let missing = request.needed.checked_sub(usable + 1)?;
-        rest_ends.sort_unstable();
-        let (reason, retry_after) = match rest_ends.get(missing) {
-            Some(until) => (RefusalReason::Resting, until.since(now)),
-            None => (RefusalReason::NoReplica, NO_REPLICA_RETRY_AFTER),
-        };
-        Some(ForwardAnswer::NotRun {
-            reason,
-            retry_after: retry_after.max(HELD_RETRY_AFTER_MIN),
-        })
-    }
-
-    /// If the queues of too many services are too long for the request to meet its goal, returns
-    /// the time after which the caller should retry.
-    pub(super) fn overload_retry_after(
-        &self,
-        now: TimePoint,
-        request: &PendingRequest,
-    ) -> Option<Duration> {
-        // A request past its goal gains nothing from a refusal, so it may wait.
-        if now >= request.goal_at {
-            return None;
-        }
-        let allowed_wait = request.goal_at.since(now).mul_f64(QUEUE_TIME_SHARE);
-        let mut long_waits: SmallVec<[Duration; 16]> = SmallVec::new();
-        for part in &request.parts {
-            if part.state != PartState::Open {
-                continue;
-            }
-            let wait = self.registry.services[part.service]
-                .queue
-                .expected_wait(now);
-            if wait > allowed_wait {
-                long_waits.push(wait);
-            }
-        }
-        if request.open_parts() - long_waits.len() >= request.needed {
-            return None;
-        }
-        let shortest = long_waits.into_iter().min()?;
-        Some(shortest.clamp(OVERLOAD_RETRY_AFTER_MIN, OVERLOAD_RETRY_AFTER_MAX))
-    }
-
     /// Indexes of the services to which a new request is sent. For a split route, chooses one by
     /// weight.
     fn target_services(
--- a/policy/src/forward/forward_status.rs
+++ b/policy/src/forward/forward_status.rs
@@ -6,10 +6,15 @@
     DaemonName,
     ReplicaName,
     RequestRate,
-    ServiceName, //
+    ServiceName,
+    TimePoint, //
 };
 
-use super::LinkLoss;
+use super::{
+    pending_request::PendingRequest,
+    ForwardEngine,
+    LinkLoss, //
+};
 
 /// Counts for the metrics.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -36,3 +41,55 @@
     /// Requests of other daemons that this one forwards.
     pub relayed: usize,
 }
+
+impl ForwardEngine {
+    /// Current counts for the metrics.
+    pub fn status(&self, now: TimePoint) -> ForwardStatus {
+        let (mut usable, mut avoided) = (0, 0);
+        let (mut leaving, mut resting) = (Vec::new(), Vec::new());
+        for record in self
+            .registry
+            .records
+            .values()
+            .filter(|record| record.listed)
+        {
+            let rest_until = record.statements.rest_until;
+            if !record.is_wanted() {
+                leaving.push(record.entry.name.clone());
+            } else if record.is_usable(now) {
+                usable += 1;
+            } else if now < rest_until {
+                resting.push((record.entry.name.clone(), rest_until.since(now)));
+            } else {
+                avoided += 1;
+            }
+        }
+        let services = self.registry.services.iter();
+        ForwardStatus {
+            replicas: [
+                ("usable", usable),
+                ("draining", leaving.len()),
+                ("avoided", avoided),
+                ("resting", resting.len()),
+            ],
+            leaving,
+            resting,
+            budgets: services
+                .map(|state| (state.name.clone(), state.budget.remaining() as u32))
+                .collect(),
+            waiting: self
+                .requests
+                .values()
+                .map(PendingRequest::queued_parts)
+                .sum(),
+            quarantined: self.crashes.refused_count(now),
+            limits: self.registry.named_limits(),
+            lost_links: self
+                .reach
+                .lost()
+                .map(|(loss, since)| (loss, now.since(since))),
+            helpers: self.helpers.names(now),
+            relayed: self.intake.in_flight as usize,
+        }
+    }
+}
--- a/policy/src/forward/mod.rs
+++ b/policy/src/forward/mod.rs
@@ -10,6 +10,7 @@
 //! caller gets an *answer*. *Extra* attempts are hedges (sent while another attempt is late) and
 //! retries (sent after one failed).
 
+mod arrival_refusal;
 mod attempt_dispatch;
 mod attempt_results;
 mod crash_evidence;
@@ -35,6 +36,7 @@
 mod limit_evidence;
 mod limit_statement;
 mod limit_table;
+mod link_checks;
 mod logged_event;
 mod part_queue;
 mod pending_request;
--- a/policy/src/forward/relay_dispatch.rs
+++ b/policy/src/forward/relay_dispatch.rs
@@ -1,11 +1,9 @@
-//! Hands requests over to other daemons while this one has lost its links to the replicas, and takes
-//! over theirs.
+//! Hands requests over to other daemons while this one has lost its links to the replicas.
 
 use std::time::Duration;
 
 use schema::{
     AttemptId,
-    BundleVersion,
     DaemonName,
     QueryId,
     TimePoint, //
@@ -17,20 +15,17 @@
         PendingRequest,
         RelayState, //
     },
-    reach_monitor::ReachChange,
     request_part::PartState,
     ForwardAction,
     ForwardAnswer,
     ForwardEngine,
-    LinkLoss,
     LoggedEvent,
     RefusalReason,
     RelayCommand,
     RelayOffer,
     RelayOutcome,
     RelayRefusal,
-    RelayTerms,
-    ReplicaKey, //
+    RelayTerms, //
 };
 
 /// Time that the way back from a helper takes at most, which is kept free before the deadline.
@@ -61,89 +56,6 @@
 }
 
 impl ForwardEngine {
-    /// The answer to a daemon which asks how many requests this one takes.
-    pub fn offer(
-        &mut self,
-        now: TimePoint,
-        from: &DaemonName,
-        helpers: u32,
-        tables: (BundleVersion, BundleVersion),
-    ) -> RelayOffer {
-        let (own_table, their_table) = tables;
-        if !self.reach.is_connected() {
-            return Err(RelayRefusal::Stranded);
-        }
-        if own_table < their_table {
-            return Err(RelayRefusal::OldTable);
-        }
-        self.intake.record_ask(now, from.clone(), helpers);
-        self.update_borrowed(now);
-        match self.intake.free() {
-            0 => Err(RelayRefusal::NoRoom),
-            free => Ok(free),
-        }
-    }
-
-    /// Whether a request of another daemon is not taken.
-    pub(super) fn refuse_relayed(
-        &self,
-        now: TimePoint,
-        request: &PendingRequest,
-    ) -> Option<RelayRefusal> {
-        request.terms?;
-        if !self.reach.is_connected() {
-            return Some(RelayRefusal::Stranded);
-        }
-        if self.intake.free() == 0 || self.overload_retry_after(now, request).is_some() {
-            return Some(RelayRefusal::NoRoom);
-        }
-        None
-    }
-
-    /// Runs the timers of the link checks and of the questions to helpers.
-    pub(super) fn check_links(&mut self, now: TimePoint, actions: &mut Vec<ForwardAction>) {
-        if self.reach.next_wakeup() <= now {
-            let count = self.reach.checks_due(now);
-            self.start_checks(now, count, actions);
-            self.reach.end_unchecked(now);
-            if self.reach.turn_silent(now) {
-                self.hand_over_pending(now, LinkLoss::Silent, actions);
-            }
-        }
-        for to in self.helpers.asks_due(now) {
-            self.ask_helper(now, to, actions);
-        }
-    }
-
-    /// Handles the end of a health check.
-    pub(super) fn on_health_checked(
-        &mut self,
-        now: TimePoint,
-        key: ReplicaKey,
-        answered: bool,
-        actions: &mut Vec<ForwardAction>,
-    ) {
-        match self.reach.record_check(now, key, answered) {
-            None => {}
-            Some(ReachChange::Lost(loss)) => {
-                actions.push(ForwardAction::Log(LoggedEvent::LinksLost { loss }));
-                self.helpers.start(now);
-                self.check_links(now, actions);
-                self.hand_over_pending(now, loss, actions);
-            }
-            Some(ReachChange::Regained(period)) => {
-                actions.push(ForwardAction::Log(LoggedEvent::LinksRegained { period }));
-                self.helpers.stop();
-                // Connections that were open before may be dead, and failures since then were none of
-                // the replicas.
-                for (key, record) in &mut self.registry.records {
-                    record.forgive(now);
-                    actions.push(ForwardAction::CloseIdle { replica: *key });
-                }
-            }
-        }
-    }
-
     /// Handles the answer of a daemon that was asked how many requests it takes.
     pub(super) fn on_offer(
         &mut self,
@@ -166,6 +78,9 @@
             self.end_silent_relays(now, daemon, actions);
         }
         self.relay_waiting(now, actions);
+        if offer.is_ok() {
+            self.hand_over_pending(now, actions);
+        }
     }
 
     /// Handles the end of the relay of a request.
@@ -383,33 +298,6 @@
         }
     }
 
-    /// Uses the part of the shared limits that stranded daemons leave unused here.
-    pub(super) fn update_borrowed(&mut self, now: TimePoint) {
-        self.registry.borrowed_shares = self.intake.borrowed_shares(now);
-    }
-
-    /// Hands over the requests that wait for replicas when the links are found lost.
-    fn hand_over_pending(
-        &mut self,
-        now: TimePoint,
-        loss: LinkLoss,
-        actions: &mut Vec<ForwardAction>,
-    ) {
-        let queries: Vec<QueryId> = self.requests.keys().copied().collect();
-        for query in queries {
-            let Some(mut request) = self.requests.remove(&query) else {
-                continue;
-            };
-            // Replies may still come on open connections if only new ones fail.
-            let waits = loss == LinkLoss::Unconnected && request.is_in_flight();
-            if request.relay == RelayState::Direct && request.may_be_relayed() && !waits {
-                self.relay_request(now, &mut request, actions);
-            }
-            self.requests.insert(query, request);
-            self.complete_or_schedule(now, query, actions);
-        }
-    }
-
     /// Sends the requests that wait for a helper, after an answer has come.
     fn relay_waiting(&mut self, now: TimePoint, actions: &mut Vec<ForwardAction>) {
         let is_waiting = |(_, request): &(&QueryId, &PendingRequest)| {
@@ -449,55 +337,15 @@
         }
     }
 
-    fn ask_helper(&mut self, now: TimePoint, to: DaemonName, actions: &mut Vec<ForwardAction>) {
+    pub(super) fn ask_helper(
+        &mut self,
+        now: TimePoint,
+        to: DaemonName,
+        actions: &mut Vec<ForwardAction>,
+    ) {
         let helpers = self.helpers.count(now).max(1) as u32;
         actions.push(ForwardAction::AskHelper { to, helpers });
     }
-
-    /// Starts health checks of `count` replicas: of different services and data centres where possible,
-    /// those that have shown no sign of a loss first.
-    fn start_checks(&mut self, now: TimePoint, count: usize, actions: &mut Vec<ForwardAction>) {
-        let mut left = count;
-        while left > 0 {
-            let Some(key) = self.next_checked(now) else {
-                return;
-            };
-            left -= 1;
-            self.reach.start_check(key);
-            self.last_checked = key;
-            let record = &self.registry.records[&key];
-            actions.push(ForwardAction::CheckHealth {
-                replica: key,
-                service: record.entry.service.clone(),
-                address: record.entry.address,
-            });
-        }
-    }
-
-    fn next_checked(&self, now: TimePoint) -> Option<ReplicaKey> {
-        let records = self.registry.records.iter();
-        let usable = records.filter(|(key, record)| {
-            let rests = now < record.statements.rest_until;
-            record.is_wanted() && !rests && !self.reach.is_checked(**key)
-        });
-        let checked = |service: usize, zone: &schema::ZoneName| {
-            let records = self.registry.records.iter();
-            let running = records.filter(|(key, _)| self.reach.is_checked(**key));
-            let (mut services, mut zones) = (0, 0);
-            for (_, record) in running {
-                services += usize::from(record.service == service);
-                zones += usize::from(record.entry.zone == *zone);
-            }
-            (services, zones)
-        };
-        let rank = |(key, record): &(&ReplicaKey, &super::replica_record::ReplicaRecord)| {
-            let (services, zones) = checked(record.service, &record.entry.zone);
-            // Replicas take turns.
-            let turn = key.0.wrapping_sub(self.last_checked.0 + 1);
-            (services, self.reach.is_suspicious(**key), zones, turn)
-        };
-        usable.min_by_key(rank).map(|(key, _)| *key)
-    }
 }
 
 /// The answer to a request that neither this daemon nor a helper can serve.
--- a/policy/src/forward/relay_intake.rs
+++ b/policy/src/forward/relay_intake.rs
@@ -6,10 +6,18 @@
 };
 
 use schema::{
+    BundleVersion,
     DaemonName,
     TimePoint, //
 };
 
+use super::{
+    pending_request::PendingRequest,
+    ForwardEngine,
+    RelayOffer,
+    RelayRefusal, //
+};
+
 /// Relayed requests that a daemon has at once at most, from all daemons.
 pub(super) const RELAYED_MAX: u32 = 64;
 /// Time after its last question for which another daemon counts as leaning on this one.
@@ -44,3 +52,49 @@
         shares.map(|(_, helpers)| 1.0 / f64::from(*helpers)).sum()
     }
 }
+
+impl ForwardEngine {
+    /// The answer to a daemon which asks how many requests this one takes.
+    pub fn offer(
+        &mut self,
+        now: TimePoint,
+        from: &DaemonName,
+        helpers: u32,
+        tables: (BundleVersion, BundleVersion),
+    ) -> RelayOffer {
+        let (own_table, their_table) = tables;
+        if !self.reach.is_connected() {
+            return Err(RelayRefusal::Stranded);
+        }
+        if own_table < their_table {
+            return Err(RelayRefusal::OldTable);
+        }
+        self.intake.record_ask(now, from.clone(), helpers);
+        self.update_borrowed(now);
+        match self.intake.free() {
+            0 => Err(RelayRefusal::NoRoom),
+            free => Ok(free),
+        }
+    }
+
+    /// Whether a request of another daemon is not taken.
+    pub(super) fn refuse_relayed(
+        &self,
+        now: TimePoint,
+        request: &PendingRequest,
+    ) -> Option<RelayRefusal> {
+        request.terms?;
+        if !self.reach.is_connected() {
+            return Some(RelayRefusal::Stranded);
+        }
+        if self.intake.free() == 0 || self.overload_retry_after(now, request).is_some() {
+            return Some(RelayRefusal::NoRoom);
+        }
+        None
+    }
+
+    /// Uses the part of the shared limits that stranded daemons leave unused here.
+    pub(super) fn update_borrowed(&mut self, now: TimePoint) {
+        self.registry.borrowed_shares = self.intake.borrowed_shares(now);
+    }
+}
