Refuse at once at a daemon that reaches neither replicas nor other daemons

What callers would see: 503 only after 300 ms at a daemon that is cut off from everything, since each of its requests waited for the answer to the current question to another daemon.

Found by a new test.

Evidence: a_daemon_that_is_cut_off_from_everything_refuses_at_once passes with 5 ms as the bound. New tests of what held already: a_relayed_request_is_charged_as_what_it_is, a stranded daemon that is stopped or killed midway (processes).

--- a/daemon/tests/forward_stranded.rs
+++ b/daemon/tests/forward_stranded.rs
@@ -254,6 +254,41 @@
     assert_eq!(cluster.daemons[helper].wait(), Some(0));
 }
 
+/// Guards against a stranded daemon that drops requests at a helper when it is stopped.
+#[test]
+fn a_stranded_daemon_that_is_stopped_finishes_its_requests() {
+    let mut cluster = StrandedCluster::stranded(2);
+    cluster.set_faults(ReplicaFault::Slow(Duration::from_millis(1_200)));
+    let slow = cluster.send("GET /once/slow", "stopping-1");
+    cluster.helper_of("stopping-1");
+    cluster.daemons[0].signal("TERM");
+    assert_eq!(slow.join().unwrap().status, 200);
+    // While it stops, it still takes requests and has them forwarded.
+    let (served, sent) = cluster.served(0, "/once/", Duration::from_millis(500));
+    assert_eq!(served, sent);
+    assert_eq!(cluster.daemons[0].wait(), Some(0));
+    assert_eq!(cluster.runs_of("stopping-1"), 1);
+}
+
+/// Guards against work that goes on for a stranded daemon that was killed.
+#[test]
+fn a_stranded_daemon_that_is_killed_leaves_no_work() {
+    let cluster = StrandedCluster::stranded(2);
+    cluster.set_faults(ReplicaFault::Slow(Duration::from_secs(4)));
+    let slow = cluster.send("GET /once/slow", "killed-2");
+    wait_for("the request runs", || cluster.runs_of("killed-2") == 1);
+    let cancelled = || {
+        let replicas = cluster.replicas.iter();
+        replicas
+            .map(|replica| replica.replica.cancelled())
+            .sum::<u32>()
+    };
+    let before = cancelled();
+    cluster.daemons[0].signal("KILL");
+    wait_for("the work is cancelled", || cancelled() > before);
+    assert_eq!(slow.join().unwrap().status, 0);
+}
+
 /// Guards against a request that hangs, or runs twice, when its helper is killed.
 #[test]
 fn a_helper_that_is_killed_holds_no_caller() {
--- a/policy/src/forward/helper_table.rs
+++ b/policy/src/forward/helper_table.rs
@@ -29,6 +29,8 @@
 const RENEW_INTERVAL: Duration = Duration::from_millis(500);
 /// Time for which an offer holds without a new one.
 const OFFER_PERIOD: Duration = Duration::from_millis(1_200);
+/// Time for which requests may wait for the offers of a search.
+const HOPE_PERIOD: Duration = Duration::from_millis(500);
 /// Time after a refusal for which a daemon is not asked again.
 const REFUSED_PERIOD: Duration = Duration::from_secs(1);
 /// Daemons that are asked in a second at most, beside the helpers.
@@ -76,6 +78,8 @@
     refilled_at: TimePoint,
     /// When helpers are asked next; `NEVER` while none are needed.
     next_ask: TimePoint,
+    /// Until when requests may wait for an offer.
+    hopeful_until: TimePoint,
 }
 
 impl HelperTable {
@@ -89,6 +93,7 @@
             tokens: ASKS_PER_SECOND,
             refilled_at: TimePoint(0),
             next_ask: TimePoint::NEVER,
+            hopeful_until: TimePoint(0),
         }
     }
 
@@ -106,6 +111,7 @@
     /// Starts to look for helpers.
     pub(super) fn start(&mut self, now: TimePoint) {
         self.next_ask = now;
+        self.hopeful_until = now + HOPE_PERIOD;
         for record in self.helpers.values_mut() {
             record.refusal = None;
         }
@@ -174,6 +180,7 @@
         match offer {
             Ok(free) => {
                 record.offer = Some((free, now + OFFER_PERIOD));
+                self.hopeful_until = now + OFFER_PERIOD + HOPE_PERIOD;
                 record.refusal = None;
                 Vec::new()
             }
@@ -187,10 +194,12 @@
         }
     }
 
-    /// Whether an answer of a daemon is due.
-    pub(super) fn is_waiting(&self) -> bool {
+    /// Whether an answer of a daemon is due that is worth waiting for: the first ones after the links
+    /// were lost, or after a helper was. Where nobody answers, requests don't wait for each question.
+    pub(super) fn is_waiting(&self, now: TimePoint) -> bool {
         let mut helpers = self.helpers.values();
-        helpers.any(|record| record.asked_at.is_some())
+        let promising = now < self.hopeful_until;
+        promising && helpers.any(|record| record.asked_at.is_some())
     }
 
     /// The helper that a request is sent to, other than those in `tried`.
--- a/policy/src/forward/relay_dispatch.rs
+++ b/policy/src/forward/relay_dispatch.rs
@@ -249,7 +249,7 @@
             self.send_directly(now, request, actions);
             return;
         }
-        if self.helpers.is_waiting() && now < since + OFFER_WAIT_MAX {
+        if self.helpers.is_waiting(now) && now < since + OFFER_WAIT_MAX {
             request.relay = RelayState::Waiting {
                 since,
                 check_at: now + OFFER_RECHECK_INTERVAL,
--- a/policy/tests/forward_kit/mod.rs
+++ b/policy/tests/forward_kit/mod.rs
@@ -231,6 +231,8 @@
     pub(crate) asks: Vec<(TimePoint, usize)>,
     /// Relays that were sent: time, from, to, terms.
     pub(crate) sent_relays: Vec<(TimePoint, usize, usize, RelayTerms)>,
+    /// The terms of relayed requests, by the daemon that forwards them.
+    pub(crate) relay_terms: BTreeMap<(usize, QueryId), RelayTerms>,
     /// Events for the log, each with its daemon.
     pub(crate) logged: Vec<(usize, LoggedEvent)>,
     last_event: u64,
@@ -294,6 +296,7 @@
             relays_end: None,
             asks: Vec::new(),
             sent_relays: Vec::new(),
+            relay_terms: BTreeMap::new(),
             logged: Vec::new(),
             last_event: 0,
             next_query: 0,
@@ -648,6 +651,7 @@
                 };
                 self.request_times.insert((to, query), self.now);
                 self.relayed.insert((to, query), (from, attempt));
+                self.relay_terms.insert((to, query), command.terms);
                 self.notify_engine(to, ForwardEvent::Arrived { query, call });
             }
             PlannedEvent::RelayEnds(daemon, attempt, outcome) => {
--- a/policy/tests/forward_stranded.rs
+++ b/policy/tests/forward_stranded.rs
@@ -234,6 +234,46 @@
     assert!(asks <= 8 * 2 * 12, "{asks} questions in 2 s");
 }
 
+/// Guards against requests that wait at a daemon which is cut off from the other daemons, too.
+#[test]
+fn a_daemon_that_is_cut_off_from_everything_refuses_at_once() {
+    let mut simulation = cluster(4);
+    load(&mut simulation, 20, ms(1_000));
+    simulation.cuts.insert(0, SimulatedCut::Hang);
+    simulation.mute.extend([1, 2, 3]);
+    load(&mut simulation, 20, ms(3_000));
+    simulation.advance(ms(3_000));
+    simulation.answered.clear();
+    load(&mut simulation, 20, ms(2_000));
+    let (served, all) = served_of(&simulation, 0);
+    assert!(served == 0 && all > 30, "{served} of {all}");
+    let answered = simulation.answered.iter();
+    for answered in answered.filter(|answered| answered.daemon == 0) {
+        let refused = matches!(answered.answer, ForwardAnswer::NotRun { .. });
+        assert!(refused && answered.latency() < ms(5), "{answered:?}");
+    }
+}
+
+/// Guards against a relayed request that is charged to the retry budget although it is the first to
+/// reach its service, and against one that is not although the stranded daemon had sent it.
+#[test]
+fn a_relayed_request_is_charged_as_what_it_is() {
+    let mut simulation = cluster(4);
+    load(&mut simulation, 60, ms(11_000));
+    simulation.cuts.insert(0, SimulatedCut::Hang);
+    load(&mut simulation, 60, ms(3_000));
+    let mut counts = [0, 0];
+    for (request, terms) in &simulation.relay_terms {
+        let sent = simulation.sent_attempts.iter();
+        let Some(first) = sent.clone().find(|attempt| attempt.request == *request) else {
+            continue;
+        };
+        assert_eq!(first.extra, terms.sent, "{request:?} {terms:?}");
+        counts[usize::from(terms.sent)] += 1;
+    }
+    assert!(counts[0] > 50 && counts[1] > 0, "{counts:?}");
+}
+
 /// Guards against a daemon that takes the end of all replicas for a loss of its own links and turns to
 /// others for each request: they can't serve it either.
 #[test]
