--- a/daemon/src/forward/forward_log.rs
+++ b/daemon/src/forward/forward_log.rs
@@ -225,9 +225,12 @@
                 "limit" => limit.per_second(), "share" => hundredths(*share),
                 "outcome" => *outcome, "wait_ms" => millis(*wait),
             ),
-            LoggedEvent::LinksLost { loss } => {
-                log_event!(logger, events::LINKS_LOST, "evidence" => loss.as_str());
-            }
+            LoggedEvent::LinksLost { evidence } => log_event!(
+                logger, events::LINKS_LOST,
+                "evidence" => evidence.loss.as_str(), "owing" => evidence.owing,
+                "unconnected" => evidence.unconnected,
+                "silent_ms" => millis(evidence.silent_for),
+            ),
             LoggedEvent::LinksRegained { period } => {
                 log_event!(logger, events::LINKS_REGAINED, "period_ms" => millis(*period));
             }
--- a/policy/src/forward/arrival_refusal.rs
+++ b/policy/src/forward/arrival_refusal.rs
@@ -17,6 +17,9 @@
     RefusalReason, //
 };
 
+/// The share of the time until its goal that a request of another daemon may spend in a queue. It is less
+/// than that of this daemon's own callers, who come first.
+const RELAYED_QUEUE_TIME_SHARE: f64 = 0.25;
 /// Bounds of the `retry_after` time sent to a request that is refused because of long queues.
 const OVERLOAD_RETRY_AFTER_MIN: Duration = Duration::from_millis(20);
 const OVERLOAD_RETRY_AFTER_MAX: Duration = Duration::from_millis(500);
@@ -67,7 +70,11 @@
         if now >= request.goal_at {
             return None;
         }
-        let allowed_wait = request.goal_at.since(now).mul_f64(QUEUE_TIME_SHARE);
+        let share = match request.terms {
+            Some(_) => RELAYED_QUEUE_TIME_SHARE,
+            None => QUEUE_TIME_SHARE,
+        };
+        let allowed_wait = request.goal_at.since(now).mul_f64(share);
         let mut long_waits: SmallVec<[Duration; 16]> = SmallVec::new();
         for part in &request.parts {
             if part.state != PartState::Open {
--- a/policy/src/forward/helper_table.rs
+++ b/policy/src/forward/helper_table.rs
@@ -132,10 +132,12 @@
         self.next_ask
     }
 
-    /// Number of daemons among which requests are divided: those that offer to take some.
+    /// Number of daemons among which requests are divided: those that offer to take some, and those that
+    /// have been asked and may.
     pub(super) fn count(&self, now: TimePoint) -> usize {
         let helpers = self.helpers.values();
-        helpers.filter(|record| record.offers(now)).count()
+        let used = |record: &&HelperRecord| record.offers(now) || record.asked_at.is_some();
+        helpers.filter(used).count()
     }
 
     /// Names of the helpers.
@@ -253,8 +255,7 @@
         self.tokens = (self.tokens + refill).min(ASKS_PER_SECOND);
         self.refilled_at = now;
         let is_used = |record: &&HelperRecord| record.offers(now) || record.asked_at.is_some();
-        let used = self.helpers.values().filter(is_used).count();
-        let missing = HELPERS_WANTED.saturating_sub(used);
+        let missing = HELPERS_WANTED.saturating_sub(self.count(now));
         let mut candidates: Vec<(AskRank, DaemonName)> = Vec::new();
         for (daemon, record) in &self.helpers {
             if is_used(&record) || record.is_refusing(now) {
--- a/policy/src/forward/link_checks.rs
+++ b/policy/src/forward/link_checks.rs
@@ -48,8 +48,8 @@
     ) {
         match self.reach.record_check(now, key, answered) {
             None => {}
-            Some(ReachChange::Lost(loss)) => {
-                actions.push(ForwardAction::Log(LoggedEvent::LinksLost { loss }));
+            Some(ReachChange::Lost(evidence)) => {
+                actions.push(ForwardAction::Log(LoggedEvent::LinksLost { evidence }));
                 self.helpers.start(now);
                 self.check_links(now, actions);
             }
--- a/policy/src/forward/logged_event.rs
+++ b/policy/src/forward/logged_event.rs
@@ -15,7 +15,7 @@
 use smallvec::SmallVec;
 
 use super::{
-    LinkLoss,
+    LossEvidence,
     RelayOutcome,
     RelayRefusal,
     UnreadableStatement, //
@@ -211,8 +211,8 @@
     },
     /// This daemon has lost its links to all replicas.
     LinksLost {
-        /// How it was noticed.
-        loss: LinkLoss,
+        /// By what it was noticed.
+        evidence: LossEvidence,
     },
     /// The links are back.
     LinksRegained {
--- a/policy/src/forward/mod.rs
+++ b/policy/src/forward/mod.rs
@@ -91,7 +91,10 @@
     QueuedPart, //
 };
 pub use probe_outcome::ProbeOutcome;
-pub use reach_monitor::LinkLoss;
+pub use reach_monitor::{
+    LinkLoss,
+    LossEvidence, //
+};
 pub use record_merge::{
     merge_records,
     RECORD_BYTES, //
--- a/policy/src/forward/reach_monitor.rs
+++ b/policy/src/forward/reach_monitor.rs
@@ -66,11 +66,24 @@
     Lost(LinkLoss),
 }
 
+/// By what the daemon believes that the links are lost.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LossEvidence {
+    /// How they were lost.
+    pub loss: LinkLoss,
+    /// Replicas that owe a reply.
+    pub owing: usize,
+    /// Replicas to which connections failed.
+    pub unconnected: usize,
+    /// Time since the last reply of any replica; since the start of the clock if there was none.
+    pub silent_for: Duration,
+}
+
 /// A change of what the daemon believes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum ReachChange {
     /// The links to all replicas are lost.
-    Lost(LinkLoss),
+    Lost(LossEvidence),
     /// They are back, after this time.
     Regained(Duration),
 }
@@ -85,6 +98,8 @@
     unanswered: BTreeMap<ReplicaKey, TimePoint>,
     /// Replicas to which a connection failed after the last one that was opened, and when last.
     unconnected: BTreeMap<ReplicaKey, TimePoint>,
+    /// When the first of these connections failed.
+    failing_since: TimePoint,
     /// Replicas that could not be connected to when a suspicion was dismissed. They are down themselves,
     /// so that further failures are no sign.
     down: BTreeSet<ReplicaKey>,
@@ -109,6 +124,7 @@
             since: TimePoint(0),
             unanswered: BTreeMap::new(),
             unconnected: BTreeMap::new(),
+            failing_since: TimePoint(0),
             down: BTreeSet::new(),
             last_reply_at: TimePoint(0),
             checks: SmallVec::new(),
@@ -162,6 +178,9 @@
     pub(super) fn record_connect(&mut self, now: TimePoint, key: ReplicaKey, opened: bool) {
         if !opened {
             if !self.down.contains(&key) {
+                if self.unconnected.is_empty() {
+                    self.failing_since = now;
+                }
                 self.unconnected.insert(key, now);
             }
             return;
@@ -271,14 +290,23 @@
             }
             (LinkState::Suspected(_), false) if !self.checks.is_empty() => None,
             (LinkState::Suspected(_), false) => {
-                // Connections are refused or time out sooner than silence is noticed.
-                let loss = match self.has_reply_within(now, SILENCE_MIN) {
+                // Connections are refused or time out sooner than silence is noticed, so that only a reply
+                // since then shows that open ones live on.
+                let lives_on =
+                    !self.unconnected.is_empty() && self.last_reply_at > self.failing_since;
+                let loss = match lives_on {
                     true => LinkLoss::Unconnected,
                     false => LinkLoss::Silent,
                 };
+                let evidence = LossEvidence {
+                    loss,
+                    owing: self.unanswered.len(),
+                    unconnected: self.unconnected.len(),
+                    silent_for: now.since(self.last_reply_at),
+                };
                 self.enter(now, LinkState::Lost(loss));
                 self.next_check = now + CHECK_INTERVAL;
-                Some(ReachChange::Lost(loss))
+                Some(ReachChange::Lost(evidence))
             }
             (LinkState::Lost(_), false) => {
                 self.answered.clear();
--- a/policy/src/forward/relay_dispatch.rs
+++ b/policy/src/forward/relay_dispatch.rs
@@ -19,6 +19,7 @@
     ForwardAction,
     ForwardAnswer,
     ForwardEngine,
+    LinkLoss,
     LoggedEvent,
     RefusalReason,
     RelayCommand,
@@ -158,18 +159,13 @@
         request: &mut PendingRequest,
         actions: &mut Vec<ForwardAction>,
     ) {
-        for index in 0..request.parts.len() {
-            let mut part = std::mem::replace(
-                &mut request.parts[index],
-                super::request_part::RequestPart::new(0),
-            );
-            self.dequeue(&mut part);
+        for part in &mut request.parts {
+            self.dequeue(part);
             for attempt in std::mem::take(&mut part.in_flight) {
                 part.executions += 1;
                 self.cancel_attempt(now, attempt, actions);
             }
             part.check_at = TimePoint::NEVER;
-            request.parts[index] = part;
         }
         request.relay = RelayState::Waiting {
             since: now,
@@ -245,10 +241,10 @@
             RelayState::Waiting { since, .. } => since,
             _ => now,
         };
-        if self.reach.lost().is_none() {
+        let Some((loss, _)) = self.reach.lost() else {
             self.send_directly(now, request, actions);
             return;
-        }
+        };
         if self.helpers.is_waiting(now) && now < since + OFFER_WAIT_MAX {
             request.relay = RelayState::Waiting {
                 since,
@@ -256,7 +252,9 @@
             };
             return;
         }
-        if self.reach.has_reply_within(now, LIVE_LINKS_PERIOD) && !request.may_have_run() {
+        let lives_on =
+            loss == LinkLoss::Unconnected && self.reach.has_reply_within(now, LIVE_LINKS_PERIOD);
+        if lives_on && !request.may_have_run() {
             self.send_directly(now, request, actions);
             return;
         }
--- a/policy/src/forward/relay_intake.rs
+++ b/policy/src/forward/relay_intake.rs
@@ -19,7 +19,7 @@
 };
 
 /// Relayed requests that a daemon has at once at most, from all daemons.
-pub(super) const RELAYED_MAX: u32 = 64;
+const RELAYED_MAX: u32 = 64;
 /// Time after its last question for which another daemon counts as leaning on this one.
 const LEANING_PERIOD: Duration = Duration::from_millis(1_500);
 
--- a/policy/tests/forward_stranded.rs
+++ b/policy/tests/forward_stranded.rs
@@ -241,6 +241,17 @@
     load(&mut simulation, 20, ms(1_000));
     simulation.cuts.insert(0, SimulatedCut::Hang);
     simulation.mute.extend([1, 2, 3]);
+    while lost_at(&simulation, 0).is_none() {
+        load(&mut simulation, 20, ms(50));
+    }
+    // The last reply is not a second old, and still none comes on the open connections.
+    let first = simulation.send_request(0, GATHER, ms(3_000));
+    simulation.advance(ms(600));
+    let first = simulation.answered_request(first);
+    assert!(
+        matches!(first.answer, ForwardAnswer::NotRun { .. }),
+        "{first:?}"
+    );
     load(&mut simulation, 20, ms(3_000));
     simulation.advance(ms(3_000));
     simulation.answered.clear();
