--- a/policy/src/forward/forward_action.rs
+++ b/policy/src/forward/forward_action.rs
@@ -1,9 +1,6 @@
 //! Actions that the forwarding engine requests from the daemon.
 
-use std::{
-    net::SocketAddr,
-    time::Duration, //
-};
+use std::net::SocketAddr;
 
 use schema::{
     AttemptId,
@@ -19,7 +16,7 @@
 use super::{
     ForwardAnswer,
     LoggedEvent,
-    RelayTerms,
+    RelayCommand,
     ReplicaKey, //
 };
 
@@ -44,23 +41,6 @@
     pub far: bool,
 }
 
-/// A request to be sent to another daemon, which forwards it to replicas.
-#[derive(Clone, Debug)]
-pub struct RelayCommand {
-    /// The relay. Unless it is cancelled first, the daemon must report its end.
-    pub attempt: AttemptId,
-    /// The caller's request.
-    pub query: QueryId,
-    /// The other daemon.
-    pub to: DaemonName,
-    /// Time for which the caller still waits, less the way back; `None` if it sent no deadline.
-    pub time_left: Option<Duration>,
-    /// When the caller is answered at the latest.
-    pub answer_by: TimePoint,
-    /// The terms for the other daemon.
-    pub terms: RelayTerms,
-}
-
 /// An action for the daemon.
 #[derive(Clone, Debug)]
 pub enum ForwardAction {
--- a/policy/src/forward/mod.rs
+++ b/policy/src/forward/mod.rs
@@ -37,15 +37,20 @@
 mod limit_statement;
 mod limit_table;
 mod link_checks;
+mod link_loss;
 mod logged_event;
 mod part_queue;
 mod pending_request;
 mod probe_outcome;
 mod reach_monitor;
 mod record_merge;
+mod relay_command;
 mod relay_dispatch;
 mod relay_intake;
 mod relay_offer;
+mod relay_outcome;
+mod relay_peer;
+mod relay_terms;
 mod replica_choice;
 mod replica_limit;
 mod replica_record;
@@ -69,7 +74,6 @@
 pub use crash_table::CrashTable;
 pub use forward_action::{
     ForwardAction,
-    RelayCommand,
     SendCommand, //
 };
 pub use forward_answer::{
@@ -85,27 +89,28 @@
 pub use forward_status::ForwardStatus;
 pub use latency_sketch::LatencySketch;
 pub use limit_statement::LimitStatement;
+pub use link_loss::{
+    LinkLoss,
+    LossEvidence, //
+};
 pub use logged_event::LoggedEvent;
 pub use part_queue::{
     PartQueue,
     QueuedPart, //
 };
 pub use probe_outcome::ProbeOutcome;
-pub use reach_monitor::{
-    LinkLoss,
-    LossEvidence, //
-};
 pub use record_merge::{
     merge_records,
     RECORD_BYTES, //
 };
+pub use relay_command::RelayCommand;
 pub use relay_offer::{
     RelayOffer,
-    RelayOutcome,
-    RelayPeer,
-    RelayRefusal,
-    RelayTerms, //
+    RelayRefusal, //
 };
+pub use relay_outcome::RelayOutcome;
+pub use relay_peer::RelayPeer;
+pub use relay_terms::RelayTerms;
 pub use replica_choice::PickOutcome;
 pub use replica_record::ReplicaKey;
 pub use replica_registry::ReplicaRegistry;
--- a/policy/src/forward/reach_monitor.rs
+++ b/policy/src/forward/reach_monitor.rs
@@ -16,7 +16,11 @@
 use schema::TimePoint;
 use smallvec::SmallVec;
 
-use super::ReplicaKey;
+use super::{
+    LinkLoss,
+    LossEvidence,
+    ReplicaKey, //
+};
 
 /// Time without a reply from any replica, while several owe one, that raises a suspicion. It is longer
 /// than the pause of a replica.
@@ -38,25 +42,6 @@
 /// Time after a suspicion that was not confirmed in which no other one is raised.
 const CONFIRMED_PERIOD: Duration = Duration::from_secs(1);
 
-/// How the links were lost.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum LinkLoss {
-    /// Replicas owe replies and send none.
-    Silent,
-    /// New connections fail; open ones may live on.
-    Unconnected,
-}
-
-impl LinkLoss {
-    /// The name in logs and in the status.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Silent => "silent",
-            Self::Unconnected => "unconnected",
-        }
-    }
-}
-
 /// What the daemon believes of its links.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum LinkState {
@@ -66,19 +51,6 @@
     Lost(LinkLoss),
 }
 
-/// By what the daemon believes that the links are lost.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct LossEvidence {
-    /// How they were lost.
-    pub loss: LinkLoss,
-    /// Replicas that owe a reply.
-    pub owing: usize,
-    /// Replicas to which connections failed.
-    pub unconnected: usize,
-    /// Time since the last reply of any replica; since the start of the clock if there was none.
-    pub silent_for: Duration,
-}
-
 /// A change of what the daemon believes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum ReachChange {
