Take connections that are accepted and closed for a sign of lost links

Cause: neither a refused connection nor silence, so that no suspicion rose, and the probe of a replica, which is accepted, cleared the signs there were. A new connection that ends without a reply counts as a failed one now, and an accepted one proves nothing before a reply has come on it. Replicas that have too many connections reset new ones, too; the health checks dismiss that suspicion with the first answer.

--- a/daemon/tests/forward_stranded.rs
+++ b/daemon/tests/forward_stranded.rs
@@ -152,7 +152,6 @@
 /// Guards against the same where open connections live on and new ones are accepted and closed at once,
 /// as by a proxy in between.
 #[test]
-#[ignore = "known red, see KNOWN-RED.txt"]
 fn callers_are_served_while_new_connections_are_closed() {
     check_stranded_callers(&[LinkFault::RefuseNew]);
 }
--- a/policy/src/forward/attempt_results.rs
+++ b/policy/src/forward/attempt_results.rs
@@ -153,7 +153,12 @@
                     }));
                 }
             }
-            ForwardFailure::Broken | ForwardFailure::BrokenNew | ForwardFailure::Garbled => {
+            ForwardFailure::BrokenNew => {
+                // Something between this daemon and the replicas may accept connections and close them.
+                self.reach.record_connect(now, context.replica, false);
+                self.registry.record_failure(now, context.replica);
+            }
+            ForwardFailure::Broken | ForwardFailure::Garbled => {
                 self.registry.record_failure(now, context.replica);
             }
         }
--- a/policy/src/forward/crash_evidence.rs
+++ b/policy/src/forward/crash_evidence.rs
@@ -78,7 +78,10 @@
         actions: &mut Vec<ForwardAction>,
     ) {
         let accepted = outcome == ProbeOutcome::Accepted;
-        self.reach.record_connect(now, key, accepted);
+        // An accepted connection proves nothing before a reply has come on it.
+        if !accepted {
+            self.reach.record_connect(now, key, false);
+        }
         let broken = self.probes.finish(now, key, accepted);
         // A refused connection shows nothing while this daemon has lost its links.
         if outcome == ProbeOutcome::Refused && self.reach.lost().is_none() {
