--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -161,6 +161,8 @@
         "statement of a replica about itself can't be read; ignoring it";
     /// A replica turned a request away and wants a rest from this daemon.
     REPLICA_RESTS = "E7030" Info "replica wants a rest; sending it no requests until its end";
+    /// A daemon did not gather for this one.
+    DELEGATE_AVOIDED = "E7031" Info "daemon near the replicas did not gather for this one; avoiding it";
 }
 
 /// Logs an event of the catalogue with its code and the given fields:
--- a/daemon/src/forward/arrived_request.rs
+++ b/daemon/src/forward/arrived_request.rs
@@ -26,6 +26,8 @@
     pub(super) read_time: Duration,
     /// The daemon that has relayed the request, with its terms, if one has.
     pub(super) relayed: Option<(DaemonName, RelayTerms)>,
+    /// Positions of the shards that this daemon wants; empty for all of the route.
+    pub(super) shards: Vec<u32>,
     /// Sends the reply back to the handler that holds the connection.
     pub(super) reply_sender: oneshot::Sender<CallerReply>,
 }
--- a/daemon/src/forward/caller_reply.rs
+++ b/daemon/src/forward/caller_reply.rs
@@ -6,6 +6,7 @@
     StatusCode, //
 };
 use policy::forward::RelayRefusal;
+use schema::peer::ShardStamp;
 
 /// What a reply means to a daemon that has relayed the request.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -32,4 +33,6 @@
     pub(super) verdict: ReplyVerdict,
     /// Replicas that leave, for a daemon that has relayed the request.
     pub(super) leaving: Vec<u64>,
+    /// Shards that replied, for a daemon that has handed over some.
+    pub(super) stamps: Vec<ShardStamp>,
 }
--- a/daemon/src/forward/forward_log.rs
+++ b/daemon/src/forward/forward_log.rs
@@ -248,6 +248,16 @@
                 "request" => id, "query" => query.0, "helper" => %helper, "attempts" => *attempts,
                 "age_ms" => millis(*age),
             ),
+            LoggedEvent::DelegateAvoided {
+                query,
+                delegate,
+                cause,
+                period,
+            } => log_event!(
+                logger, events::DELEGATE_AVOIDED,
+                "request" => id, "query" => query.0, "delegate" => %delegate, "cause" => *cause,
+                "period_ms" => millis(*period),
+            ),
             LoggedEvent::RelayEnded {
                 query,
                 helper,
--- a/daemon/src/forward/forward_loop.rs
+++ b/daemon/src/forward/forward_loop.rs
@@ -376,6 +376,11 @@
                 self.metrics.relays.get_or_create(&label).inc();
                 Some(query)
             }
+            LoggedEvent::DelegateAvoided { query, cause, .. } => {
+                let label = [("outcome", *cause)];
+                self.metrics.delegations.get_or_create(&label).inc();
+                Some(query)
+            }
             LoggedEvent::ReplicaCrashed { .. } => {
                 self.metrics.crashes.inc();
                 None
--- a/daemon/src/forward/forward_metrics.rs
+++ b/daemon/src/forward/forward_metrics.rs
@@ -64,6 +64,8 @@
     pub(super) health_checks: Family<StaticLabel, Counter>,
     /// Requests relayed to other daemons, by outcome.
     pub(super) relays: Family<StaticLabel, Counter>,
+    /// Gathers that were handed to another daemon and did not succeed there, by cause.
+    pub(super) delegations: Family<StaticLabel, Counter>,
     /// Requests of other daemons in flight here.
     pub(super) relayed: Gauge,
     /// Requests of other daemons that arrived here.
@@ -113,6 +115,7 @@
             stranded: Gauge::default(),
             health_checks: Family::default(),
             relays: Family::default(),
+            delegations: Family::default(),
             relayed: Gauge::default(),
             relays_taken: Counter::default(),
             connections_opened: Counter::default(),
@@ -159,6 +162,11 @@
             "Requests relayed to other daemons by outcome",
             all.relays.clone(),
         );
+        registry.register(
+            "forward_delegations_failed",
+            "Gathers handed to other daemons that did not succeed there, by cause",
+            all.delegations.clone(),
+        );
         registry.register(
             "forward_relayed",
             "Requests of other daemons in flight",
--- a/daemon/src/forward/forward_peers.rs
+++ b/daemon/src/forward/forward_peers.rs
@@ -31,8 +31,11 @@
         DirectoryCall,
         DirectoryReply,
         NoteEntry,
+        SharedCall,
+        SharedReply,
         SyncBody, //
     },
+    CpuCapacity,
     DaemonName,
     TimePoint, //
 };
@@ -46,8 +49,10 @@
     forward_loop::ForwardLoop,
     inbox_event::{
         DirectoryUpdate,
-        InboxEvent, //
+        InboxEvent,
+        PeerPage, //
     },
+    relay_messages::split_call,
 };
 use crate::{
     events,
@@ -58,8 +63,9 @@
 /// A long poll of another daemon that waits for changes of the directory.
 #[derive(Debug)]
 pub(super) struct LongPoll {
-    /// How far the daemon has read; `None` asks for all entries.
-    after: Option<FeedPosition>,
+    /// How far the daemon has read, where `None` asks for all entries, and whether it knows what the age of
+    /// a page is.
+    wanted: (Option<FeedPosition>, bool),
     asked_at: TimePoint,
     /// When it is answered even if nothing has changed.
     due: TimePoint,
@@ -82,7 +88,11 @@
                     self.answer_offer(now, &from, &call, reply);
                 }
                 Body::RelayCall(call) if self.is_peer(&from, address) => {
-                    self.take_relayed(now, &from, call, reply);
+                    self.take_relayed(now, &from, call, None, reply);
+                }
+                Body::BranchCall(branch) if self.is_peer(&from, address) => {
+                    let (call, terms) = split_call(*branch);
+                    self.take_relayed(now, &from, call, Some(terms), reply);
                 }
                 body => self.answer_peer_call(now, body, reply),
             },
@@ -139,7 +149,7 @@
     /// Answers the long polls for which there are changes or whose time is over.
     pub(super) fn answer_polls(&mut self, now: TimePoint) {
         for poll in std::mem::take(&mut self.polls) {
-            self.answer_poll(now, poll.after, poll.asked_at, poll.reply_sender);
+            self.answer_poll(now, poll.wanted, poll.asked_at, poll.reply_sender);
         }
     }
 
@@ -152,25 +162,48 @@
     /// Asks another daemon for the changes since `after`, or for all entries.
     pub(super) fn request_page(
         &self,
+        daemon: &DaemonName,
         to: SocketAddr,
         after: Option<FeedPosition>,
-    ) -> impl Future<Output = Option<FeedPage>> + 'static {
-        let call = Body::DirectoryCall(DirectoryCall {
+    ) -> impl Future<Output = Option<PeerPage>> + 'static {
+        let call = DirectoryCall {
             after: after.unwrap_or_default().revision,
             whole: after.is_none(),
             era: after.unwrap_or_default().era,
-        });
+        };
+        let call = match self.is_current(daemon) {
+            true => Body::SharedCall(SharedCall { call: Some(call) }),
+            false => Body::DirectoryCall(call),
+        };
         let reply = self.peer_link.call(to, call);
         async move {
-            let Ok(Body::DirectoryReply(reply)) = reply.await else {
-                return None;
+            let shared = match reply.await {
+                Ok(Body::SharedReply(shared)) => shared,
+                Ok(Body::DirectoryReply(reply)) => SharedReply {
+                    reply: Some(reply),
+                    ..SharedReply::default()
+                },
+                _ => return None,
+            };
+            let reply = shared.reply.filter(|_| !shared.busy)?;
+            // A daemon whose directory is out of date sends an empty page, which fails to decode.
+            let Ok(page) = postcard::from_bytes(&reply.page) else {
+                return Some(PeerPage::Stale);
             };
-            // A daemon whose directory is out of date, or that has no bandwidth left for pages,
-            // sends an empty page, which fails to decode.
-            postcard::from_bytes(&reply.page).ok()
+            Some(PeerPage::Read(FeedPage {
+                age: Duration::from_micros(shared.age_us),
+                ..page
+            }))
         }
     }
 
+    /// Whether a daemon understands the messages that came with the capacity.
+    fn is_current(&self, daemon: &DaemonName) -> bool {
+        let mut members = self.peers.members();
+        let member = members.find(|member| member.daemon == *daemon);
+        member.is_some_and(|member| member.cell.parse::<CpuCapacity>().is_ok())
+    }
+
     fn answer_peer_call(
         &mut self,
         now: TimePoint,
@@ -185,13 +218,19 @@
                 let reply_to = self.last_sync_id;
                 self.update_peers(now, PeerEvent::SyncRequested { reply_to, body });
             }
-            Body::DirectoryCall(call) => {
+            Body::DirectoryCall(_) | Body::SharedCall(_) => {
+                let (call, shared) = match body {
+                    Body::SharedCall(call) => (call.call, true),
+                    Body::DirectoryCall(call) => (Some(call), false),
+                    _ => return,
+                };
+                let call = call.unwrap_or_default();
                 let after = FeedPosition {
                     era: call.era,
                     revision: call.after,
                 };
                 let after = Some(after).filter(|_| !call.whole);
-                self.answer_poll(now, after, now, reply_sender);
+                self.answer_poll(now, (after, shared), now, reply_sender);
             }
             // Daemons of this platform send no other calls, and requests are relayed by members only.
             _ => {}
@@ -201,25 +240,37 @@
     fn answer_poll(
         &mut self,
         now: TimePoint,
-        after: Option<FeedPosition>,
+        wanted: (Option<FeedPosition>, bool),
         asked_at: TimePoint,
         reply_sender: oneshot::Sender<Body>,
     ) {
         if reply_sender.is_closed() {
             return;
         }
-        let page = match self.feed.answer(now, after, asked_at) {
+        let (after, shared) = wanted;
+        let reply = match self.feed.answer(now, after, asked_at) {
             FeedAnswer::Page(page) => {
+                let age = u64::try_from(page.age.as_micros()).unwrap_or(u64::MAX);
                 let page = postcard::to_allocvec(&page).unwrap_or_default();
                 match self.page_budget.try_take(now, page.len()) {
-                    true => page,
-                    false => Vec::new(),
+                    true => SharedReply {
+                        reply: Some(DirectoryReply { page }),
+                        age_us: age,
+                        busy: false,
+                    },
+                    false => SharedReply {
+                        busy: true,
+                        ..SharedReply::default()
+                    },
                 }
             }
-            FeedAnswer::Stale => Vec::new(),
+            FeedAnswer::Stale => SharedReply {
+                reply: Some(DirectoryReply::default()),
+                ..SharedReply::default()
+            },
             FeedAnswer::Wait(due) => {
                 self.polls.push(LongPoll {
-                    after,
+                    wanted,
                     asked_at,
                     due,
                     reply_sender,
@@ -228,7 +279,10 @@
             }
         };
         // The peer may have closed the connection meanwhile.
-        let _ = reply_sender.send(Body::DirectoryReply(DirectoryReply { page }));
+        let _ = reply_sender.send(match shared {
+            true => Body::SharedReply(reply),
+            false => Body::DirectoryReply(reply.reply.unwrap_or_default()),
+        });
     }
 
     fn spawn_sync(&self, to: SocketAddr, body: SyncBody) {
@@ -257,11 +311,14 @@
             });
         let peers: Vec<FeedPeer> = peers.collect();
         let others = peers.iter().map(|peer| peer.daemon.clone()).collect();
-        let relay_peer = |peer: &FeedPeer| RelayPeer {
-            daemon: peer.daemon.clone(),
-            zone: peer.zone.clone(),
-        };
-        let relay_peers = peers.iter().map(relay_peer).collect();
+        let members = self.peers.members().filter(is_alive);
+        let relay_peers = members.map(|member| RelayPeer {
+            daemon: member.daemon.clone(),
+            zone: member.zone.clone(),
+            // The daemons of an older build name none, and those of this platform have no cells.
+            capacity: member.cell.parse().unwrap_or_default(),
+        });
+        let relay_peers = relay_peers.collect();
         self.dispatch(now, ForwardEvent::RelayPeersListed(relay_peers));
         self.feed.set_peers(peers);
         // Dead members count too: a daemon that is unreachable from here may still spend its share
@@ -280,18 +337,21 @@
         &mut self,
         now: TimePoint,
         daemon: &DaemonName,
-        page: Option<FeedPage>,
+        page: Option<PeerPage>,
     ) {
         match page {
-            Some(page) => {
+            Some(PeerPage::Read(page)) => {
                 let (changes, recovered) = self.feed.peer_answered(now, page);
                 if recovered {
                     log_event!(self.log.logger, events::STORE_RECOVERED);
                 }
                 self.apply_changes(now, changes);
             }
-            None => {
-                self.feed.peer_failed(now, daemon);
+            failure => {
+                match failure {
+                    None => self.feed.peer_failed(now, daemon),
+                    Some(_) => self.feed.peer_stale(now, daemon),
+                }
                 if self.log.take_permit(now, true) {
                     log_event!(self.log.logger, events::READER_FAILED, "name" => %daemon);
                 }
@@ -307,7 +367,7 @@
         after: Option<FeedPosition>,
         max_wait: Duration,
     ) {
-        let request = self.request_page(to, after);
+        let request = self.request_page(&daemon, to, after);
         let events = self.events.clone();
         spawn_local(async move {
             let page = timeout(max_wait, request).await.ok().flatten();
--- a/daemon/src/forward/forward_requests.rs
+++ b/daemon/src/forward/forward_requests.rs
@@ -9,6 +9,7 @@
     time::Duration, //
 };
 
+use compact_str::CompactString;
 use http::{
     header,
     request,
@@ -31,6 +32,7 @@
     RequestIdentity, //
 };
 use schema::{
+    peer::ShardStamp,
     AttemptId,
     DaemonName,
     QueryId,
@@ -109,6 +111,7 @@
             sends: 0,
             last_replica: None,
             caller,
+            is_branch: !arrived.shards.is_empty(),
             relayed_by: arrived.relayed.as_ref().map(|(daemon, _)| daemon.clone()),
             helper: None,
             max_attempts: if spec.idempotent { spec.attempts } else { 1 },
@@ -122,6 +125,7 @@
             route,
             time_left: caller_timeout.map(|timeout| timeout.saturating_sub(arrived.read_time)),
             identity,
+            shards: arrived.shards,
             terms: arrived.relayed.map(|(_, terms)| terms),
         };
         let query = arrived.query;
@@ -196,11 +200,15 @@
             },
             ForwardAnswer::Merged {
                 stamps,
+                shards,
                 missing,
                 records,
             } => {
                 let mut reply = status_reply(StatusCode::OK);
-                set_merged_headers(&mut reply.headers, &stamps, missing);
+                match request.is_branch {
+                    true => reply.stamps = shard_stamps(shards, stamps),
+                    false => set_merged_headers(&mut reply.headers, &stamps, missing),
+                }
                 reply.body = records;
                 missing_parts = Some(missing);
                 (if missing == 0 { "served" } else { "partial" }, reply)
@@ -295,6 +303,15 @@
     }
 }
 
+fn shard_stamps(shards: Vec<u32>, stamps: Vec<CompactString>) -> Vec<ShardStamp> {
+    let entries = shards.into_iter().zip(stamps);
+    let entries = entries.map(|(shard, stamp)| ShardStamp {
+        shard,
+        stamp: stamp.into(),
+    });
+    entries.collect()
+}
+
 fn status_reply(status: StatusCode) -> CallerReply {
     CallerReply {
         status,
--- a/daemon/src/forward/inbox_event.rs
+++ b/daemon/src/forward/inbox_event.rs
@@ -9,7 +9,7 @@
 };
 use schema::{
     peer::{
-        RelayReply,
+        BranchReply,
         SyncBody, //
     },
     AttemptId,
@@ -49,11 +49,20 @@
     PeerRead {
         /// The daemon that was asked.
         daemon: DaemonName,
-        /// Its answer; `None` if it did not answer or is itself out of date.
-        page: Option<FeedPage>,
+        /// Its answer; `None` if it did not answer or has no bandwidth for one.
+        page: Option<PeerPage>,
     },
 }
 
+/// The answer of a daemon that reads the directory for this one.
+#[derive(Debug)]
+pub(super) enum PeerPage {
+    /// Changes, or the whole directory.
+    Read(FeedPage),
+    /// It is itself out of date.
+    Stale,
+}
+
 /// An event that the forwarding loop handles.
 #[derive(Debug)]
 pub(super) enum InboxEvent {
@@ -75,7 +84,7 @@
     /// A daemon that was asked how many requests it takes answered, or did not.
     OfferReceived(DaemonName, RelayOffer),
     /// The relay of a request ended.
-    RelayEnded(AttemptId, Result<RelayReply, RelayFailure>),
+    RelayEnded(AttemptId, Result<BranchReply, RelayFailure>),
     /// A probe of a replica ended.
     Probed(ReplicaKey, Result<UpstreamLink, ConnectFailure>),
     /// An attempt to open a connection ahead of need ended; `None` if it failed.
--- a/daemon/src/forward/pending_request.rs
+++ b/daemon/src/forward/pending_request.rs
@@ -101,6 +101,8 @@
     pub(super) max_attempts: u32,
     /// Address of the caller.
     pub(super) caller: IpAddr,
+    /// Whether the caller's daemon wants some of the shards only.
+    pub(super) is_branch: bool,
     /// The daemon that has relayed the request to this one, if one has.
     pub(super) relayed_by: Option<DaemonName>,
     /// The daemon to which this one has relayed it last.
--- a/daemon/src/forward/relay_messages.rs
+++ b/daemon/src/forward/relay_messages.rs
@@ -17,20 +17,22 @@
     StatusCode, //
 };
 use policy::forward::{
+    BranchAnswer,
+    BranchTerms,
     RelayCommand,
     RelayOffer,
     RelayOutcome,
     RelayRefusal,
     RelayTerms, //
 };
-use schema::{
-    peer::{
-        HeaderField,
-        OfferReply,
-        RelayCall,
-        RelayReply, //
-    },
-    BundleVersion, //
+use schema::peer::{
+    stream_body::Body,
+    BranchCall,
+    BranchReply,
+    HeaderField,
+    OfferReply,
+    RelayCall,
+    RelayReply, //
 };
 
 use super::{
@@ -42,6 +44,13 @@
 };
 use crate::caller_port::CallerAddress;
 
+/// The shards of a branch and its terms.
+#[derive(Debug)]
+pub(super) struct WantedShards {
+    shards: Vec<u32>,
+    terms: BranchTerms,
+}
+
 /// A relayed request as it arrives.
 #[derive(Debug)]
 pub(super) struct RelayedRequest {
@@ -49,18 +58,16 @@
     pub(super) head: request::Parts,
     /// The complete body.
     pub(super) body: Bytes,
+    /// Positions of the wanted shards in the route; empty for all.
+    pub(super) shards: Vec<u32>,
     /// The terms of the daemon that relays it.
     pub(super) terms: RelayTerms,
 }
 
 /// The message for the request of `command`.
-pub(super) fn to_call(
-    request: &PendingRequest,
-    command: &RelayCommand,
-    table: BundleVersion,
-) -> RelayCall {
+pub(super) fn to_call(request: &PendingRequest, command: &RelayCommand) -> Body {
     let template = &request.template;
-    RelayCall {
+    let call = RelayCall {
         method: template.method.to_string(),
         target: template.target.to_string(),
         headers: to_fields(&template.headers),
@@ -70,12 +77,33 @@
         age_us: micros(command.terms.age),
         attempts: command.terms.attempts,
         sent: command.terms.sent,
-        table: table.0,
+        table: command.table.0,
+    };
+    match command.terms.branch {
+        None => Body::RelayCall(call),
+        Some(branch) => Body::BranchCall(Box::new(BranchCall {
+            call: Some(call),
+            shards: command.shards.clone(),
+            needed: branch.needed,
+            goal_left_us: micros(branch.goal_left),
+        })),
     }
 }
 
+/// The request of a branch, and what is wanted of it.
+pub(super) fn split_call(branch: BranchCall) -> (RelayCall, WantedShards) {
+    let wanted = WantedShards {
+        shards: branch.shards,
+        terms: BranchTerms {
+            goal_left: Duration::from_micros(branch.goal_left_us),
+            needed: branch.needed,
+        },
+    };
+    (branch.call.unwrap_or_default(), wanted)
+}
+
 /// The request of a message; `None` if a field is malformed.
-pub(super) fn from_call(call: RelayCall) -> Option<RelayedRequest> {
+pub(super) fn from_call(call: RelayCall, wanted: Option<WantedShards>) -> Option<RelayedRequest> {
     let request = Request::builder()
         .method(call.method.as_str())
         .uri(call.target.as_str());
@@ -87,31 +115,45 @@
     if call.time_left_us > 0 {
         platform::set_time_left(&mut head.headers, time_left);
     }
+    let shards = wanted.iter().flat_map(|wanted| &wanted.shards);
+    if !shards.is_sorted_by(|a, b| a < b) {
+        return None;
+    }
+    let branch = wanted.as_ref().map(|wanted| wanted.terms);
     Some(RelayedRequest {
+        shards: wanted.map_or_else(Vec::new, |wanted| wanted.shards),
         head,
         body: call.body.into(),
         terms: RelayTerms {
             age: Duration::from_micros(call.age_us),
             attempts: call.attempts,
             sent: call.sent,
+            branch,
         },
     })
 }
 
-/// The message for an answer.
-pub(super) fn to_reply(reply: CallerReply) -> RelayReply {
+/// The message for an answer; `of_branch` if some shards were asked for.
+pub(super) fn to_reply(reply: CallerReply, of_branch: bool) -> Body {
     let (outcome, refusal) = match reply.verdict {
         ReplyVerdict::Answered => (0, 0),
         ReplyVerdict::NotRun => (1, 0),
         ReplyVerdict::Declined(refusal) => (2, refusal_code(refusal)),
     };
-    RelayReply {
+    let message = RelayReply {
         outcome,
         status: u32::from(reply.status.as_u16()),
         headers: to_fields(&reply.headers),
         body: reply.body.into(),
         refusal,
         leaving: reply.leaving,
+    };
+    match of_branch {
+        false => Body::RelayReply(message),
+        true => Body::BranchReply(Box::new(BranchReply {
+            reply: Some(message),
+            stamps: reply.stamps,
+        })),
     }
 }
 
@@ -133,6 +175,22 @@
     (outcome, Some((head, reply.body.into())))
 }
 
+/// What a delegate has gathered, if it has.
+pub(super) fn to_branch_answer(branch: &mut BranchReply) -> Option<BranchAnswer> {
+    let reply = branch.reply.as_mut().filter(|reply| reply.outcome == 0)?;
+    if branch.stamps.is_empty() {
+        return None;
+    }
+    let stamps = std::mem::take(&mut branch.stamps);
+    Some(BranchAnswer {
+        stamps: stamps
+            .into_iter()
+            .map(|entry| (entry.shard, entry.stamp.into()))
+            .collect(),
+        records: std::mem::take(&mut reply.body).into(),
+    })
+}
+
 /// The message for the answer to a daemon which asks how many requests this one takes.
 pub(super) fn to_offer(offer: RelayOffer) -> OfferReply {
     match offer {
@@ -158,6 +216,7 @@
         RelayRefusal::NotReady | RelayRefusal::NoAnswer => 2,
         RelayRefusal::NoRoom => 3,
         RelayRefusal::OldTable => 4,
+        RelayRefusal::NewTable => 5,
     }
 }
 
@@ -166,6 +225,7 @@
         1 => RelayRefusal::Stranded,
         3 => RelayRefusal::NoRoom,
         4 => RelayRefusal::OldTable,
+        5 => RelayRefusal::NewTable,
         _ => RelayRefusal::NotReady,
     }
 }
--- a/daemon/src/forward/relay_tasks.rs
+++ b/daemon/src/forward/relay_tasks.rs
@@ -1,4 +1,5 @@
-//! Sends requests to other daemons while the links to the replicas are lost, and takes over theirs.
+//! Sends requests to other daemons that gather for this one or reach replicas that it does not, and takes
+//! over theirs.
 
 use std::{
     net::IpAddr,
@@ -16,9 +17,9 @@
 use schema::{
     peer::{
         stream_body::Body,
+        BranchReply,
         OfferCall,
-        RelayCall,
-        RelayReply, //
+        RelayCall, //
     },
     AttemptId,
     BundleVersion,
@@ -47,11 +48,16 @@
         from_call,
         from_offer,
         from_reply,
+        to_branch_answer,
         to_call,
         to_offer,
-        to_reply, //
+        to_reply,
+        WantedShards, //
+    },
+    replica_exchange::{
+        ReplicaReply,
+        CONNECT_TIMEOUT, //
     },
-    replica_exchange::ReplicaReply, //
 };
 use crate::{
     lifecycle::LifePhase,
@@ -70,7 +76,10 @@
             table: self.table_version().0,
         };
         let asked = self.peer_address(to);
-        let asked = asked.map(|address| self.peer_link.relay(address, Body::OfferCall(call)));
+        let asked = asked.map(|address| {
+            let body = Body::OfferCall(call);
+            self.peer_link.relay(address, body, CONNECT_TIMEOUT)
+        });
         let (events, to) = (self.events.clone(), to.clone());
         spawn_local(async move {
             let offer = match asked {
@@ -84,21 +93,25 @@
 
     /// Sends a request to another daemon.
     pub(super) fn relay(&mut self, now: TimePoint, command: RelayCommand) {
-        let table = self.table_version();
         let address = self.peer_address(&command.to);
         let Some(request) = self.requests.get_mut(&command.query) else {
             return;
         };
         request.helper = Some(command.to.clone());
-        let call = to_call(request, &command, table);
-        let relay = address.map(|address| self.peer_link.relay(address, Body::RelayCall(call)));
+        let call = to_call(request, &command);
+        let relay =
+            address.map(|address| self.peer_link.relay(address, call, command.connect_timeout));
         let events = self.events.clone();
         let (attempt, query) = (command.attempt, command.query);
         let bound = command.answer_by.since(now);
         let task = spawn_local(async move {
             let result = match relay {
                 Some(relay) => match timeout(bound, relay).await {
-                    Ok(Ok(Body::RelayReply(reply))) => Ok(reply),
+                    Ok(Ok(Body::RelayReply(reply))) => Ok(BranchReply {
+                        reply: Some(reply),
+                        stamps: Vec::new(),
+                    }),
+                    Ok(Ok(Body::BranchReply(reply))) => Ok(*reply),
                     Ok(Err(failure)) => Err(failure),
                     _ => Err(RelayFailure::Broken),
                 },
@@ -120,16 +133,22 @@
         &mut self,
         now: TimePoint,
         attempt: AttemptId,
-        result: Result<RelayReply, RelayFailure>,
+        result: Result<BranchReply, RelayFailure>,
     ) {
         // The relay may have been cancelled while this event was queued.
         let Some(RunningExchange { query, .. }) = self.exchanges.remove(&attempt) else {
             return;
         };
         let (outcome, reply) = match result {
-            Ok(mut reply) => {
+            Ok(mut branch) => {
+                let answer = to_branch_answer(&mut branch);
+                let mut reply = branch.reply.unwrap_or_default();
                 let instances = std::mem::take(&mut reply.leaving);
                 self.dispatch(now, ForwardEvent::LeavingNamed { instances });
+                if let Some(answer) = answer {
+                    self.dispatch(now, ForwardEvent::BranchGathered { attempt, answer });
+                    return;
+                }
                 from_reply(reply)
             }
             Err(RelayFailure::Unsent) => (RelayOutcome::Declined(RelayRefusal::NoAnswer), None),
@@ -175,11 +194,17 @@
         now: TimePoint,
         from: &str,
         call: RelayCall,
+        wanted: Option<WantedShards>,
         reply_sender: oneshot::Sender<Body>,
     ) {
+        let of_branch = wanted.is_some();
         let table = BundleVersion(call.table);
         let refusal = match self.phase() {
             LifePhase::Ready if self.table_version() < table => Some(RelayRefusal::OldTable),
+            // Its own gathers use the older table, and must not follow one that used this one.
+            LifePhase::Ready if of_branch && self.table_version() > table => {
+                Some(RelayRefusal::NewTable)
+            }
             LifePhase::Ready => None,
             _ => Some(RelayRefusal::NotReady),
         };
@@ -189,16 +214,17 @@
                 ..CallerReply::default()
             };
             // The peer may have closed the connection meanwhile.
-            let _ = reply_sender.send(Body::RelayReply(to_reply(declined)));
+            let _ = reply_sender.send(to_reply(declined, of_branch));
             return;
         }
         // A malformed message closes the connection.
-        let (Some(request), Ok(from)) = (from_call(call), from.parse::<DaemonName>()) else {
+        let (Some(request), Ok(from)) = (from_call(call, wanted), from.parse::<DaemonName>())
+        else {
             return;
         };
         let query = QueryId(self.last_query.fetch_add(1, Ordering::Relaxed) + 1);
         let (sender, receiver) = oneshot::channel::<CallerReply>();
-        self.spawn_relay_answer(query, receiver, reply_sender);
+        self.spawn_relay_answer((query, of_branch), receiver, reply_sender);
         self.metrics.relays_taken.inc();
         let arrived = ArrivedRequest {
             query,
@@ -206,6 +232,7 @@
             body: request.body,
             read_time: Duration::ZERO,
             relayed: Some((from, request.terms)),
+            shards: request.shards,
             reply_sender: sender,
         };
         self.accept_request(now, arrived);
@@ -213,7 +240,7 @@
 
     fn spawn_relay_answer(
         &self,
-        query: QueryId,
+        (query, of_branch): (QueryId, bool),
         receiver: oneshot::Receiver<CallerReply>,
         mut reply_sender: oneshot::Sender<Body>,
     ) {
@@ -223,7 +250,7 @@
                 reply = receiver => {
                     // Without a reply the request may have run, so the connection is only closed.
                     if let Ok(reply) = reply {
-                        let _ = reply_sender.send(Body::RelayReply(to_reply(reply)));
+                        let _ = reply_sender.send(to_reply(reply, of_branch));
                     }
                 }
                 () = reply_sender.closed() => {
--- a/daemon/src/forward/request_handler.rs
+++ b/daemon/src/forward/request_handler.rs
@@ -126,6 +126,7 @@
             body,
             read_time: read_start.elapsed(),
             relayed: None,
+            shards: Vec::new(),
             reply_sender,
         };
         let sent = self.events.send(InboxEvent::Arrived(Box::new(arrived)));
--- a/daemon/src/forward/run_forward.rs
+++ b/daemon/src/forward/run_forward.rs
@@ -126,7 +126,7 @@
 /// Time to find the other daemons before the store is read, if all daemons start at once.
 const FIRST_JOIN_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// The same for a restart, when the other daemons already run.
-const RESTART_JOIN_TIMEOUT: Duration = Duration::from_millis(100);
+const RESTART_JOIN_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time for the last answers to other daemons to be written before their connections are closed.
 const PEER_FLUSH_TIME: Duration = Duration::from_millis(20);
 /// Time for the last replies to be written before the process ends.
@@ -209,6 +209,7 @@
         PeerLink::serve(socket, PEER_KEY, &boot.vm, &boot.zone, incarnation);
     let peer_settings = PeerSettings {
         seeds: boot.seeds,
+        cell: boot.capacity.to_string().into(),
         ..PeerSettings::new(
             boot.vm.clone(),
             boot.peer_address,
@@ -244,6 +245,7 @@
         retry_budget_ratio: boot.retry_budget_ratio,
         retry_budget_slack: boot.retry_budget_slack,
         retry_budget_window: boot.retry_budget_window,
+        capacity: boot.capacity,
     };
     let now = clock.now();
     let mut forward_loop = ForwardLoop {
--- a/daemon/src/peering/peer_link.rs
+++ b/daemon/src/peering/peer_link.rs
@@ -203,9 +203,10 @@
         &self,
         to: SocketAddr,
         body: Body,
+        connect_timeout: Duration,
     ) -> impl std::future::Future<Output = Result<Body, RelayFailure>> + 'static {
         let pool = self.relay_pool.clone();
-        async move { pool.call(to, body).await }
+        async move { pool.call(to, body, connect_timeout).await }
     }
 }
 
@@ -278,7 +279,7 @@
             return Ok(());
         };
         let answer_timeout = match body {
-            Body::RelayCall(_) => RELAY_TIMEOUT,
+            Body::RelayCall(_) | Body::BranchCall(_) => RELAY_TIMEOUT,
             _ => ANSWER_TIMEOUT,
         };
         let (reply, answer) = oneshot::channel();
--- a/daemon/src/peering/relay_pool.rs
+++ b/daemon/src/peering/relay_pool.rs
@@ -33,8 +33,6 @@
     PeerError, //
 };
 
-/// Longest time to open a connection; several round trips to the farthest data centre.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time for which an idle connection is kept; less than the time after which peers close it.
 const IDLE_LIMIT: Duration = Duration::from_secs(5);
 /// Idle connections that are kept for each peer.
@@ -75,11 +73,16 @@
     }
 
     /// Calls a peer and waits for the answer, which the caller may bound by dropping the future.
-    pub(super) async fn call(&self, to: SocketAddr, body: Body) -> Result<Body, RelayFailure> {
+    pub(super) async fn call(
+        &self,
+        to: SocketAddr,
+        body: Body,
+        connect_timeout: Duration,
+    ) -> Result<Body, RelayFailure> {
         let stream = match self.take_idle(to) {
             Some(stream) => stream,
             None => {
-                let connected = timeout(CONNECT_TIMEOUT, self.connect(to)).await;
+                let connected = timeout(connect_timeout, self.connect(to)).await;
                 let connected = connected.map_err(|_| RelayFailure::Unsent)?;
                 connected.map_err(|_| RelayFailure::Unsent)?
             }
--- a/daemon/tests/peering_link.rs
+++ b/daemon/tests/peering_link.rs
@@ -43,6 +43,7 @@
 };
 
 const KEY: [u8; 32] = [7; 32];
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 async fn open_link(name: &str, key: [u8; 32]) -> (SocketAddr, PeerLink, Receiver<PeerInput>) {
     let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -181,7 +182,8 @@
     run_local(async {
         let (_, caller, _inputs) = open_link("a", KEY).await;
         let (address, _link, mut inputs) = open_link("b", KEY).await;
-        let calls = [1, 2].map(|_| spawn_local(caller.relay(address, relay_call())));
+        let calls =
+            [1, 2].map(|_| spawn_local(caller.relay(address, relay_call(), CONNECT_TIMEOUT)));
         let mut replies = Vec::new();
         while replies.len() < 2 {
             let Some(PeerInput::Called { body, reply, .. }) = inputs.recv().await else {
@@ -205,7 +207,7 @@
     run_local(async {
         let (_, caller, _inputs) = open_link("a", KEY).await;
         let (address, _link, mut inputs) = open_link("b", KEY).await;
-        let call = spawn_local(caller.relay(address, relay_call()));
+        let call = spawn_local(caller.relay(address, relay_call(), CONNECT_TIMEOUT));
         let Some(PeerInput::Called { mut reply, .. }) = inputs.recv().await else {
             panic!("no call");
         };
@@ -230,10 +232,14 @@
             }
         });
         let question = Body::OfferCall(OfferCall::default());
-        let answer = timeout(Duration::from_secs(5), caller.relay(address, question)).await;
+        let answer = timeout(
+            Duration::from_secs(5),
+            caller.relay(address, question, CONNECT_TIMEOUT),
+        )
+        .await;
         assert_eq!(answer.expect("in time"), Err(RelayFailure::Broken));
         let unused = SocketAddr::from(([127, 0, 0, 1], 1));
-        let answer = caller.relay(unused, relay_call()).await;
+        let answer = caller.relay(unused, relay_call(), CONNECT_TIMEOUT).await;
         assert_eq!(answer, Err(RelayFailure::Unsent));
     });
 }
--- a/policy/src/directory/change_log.rs
+++ b/policy/src/directory/change_log.rs
@@ -5,6 +5,8 @@
     VecDeque, //
 };
 
+use std::time::Duration;
+
 use schema::{
     DirectoryEvent,
     ReplicaEntry,
@@ -93,6 +95,7 @@
                 revision: self.revision,
                 whole: false,
                 events: newer.map(|(_, change)| change.clone()).collect(),
+                age: Duration::ZERO,
             };
         }
         let table = self.table.iter().cloned().map(DirectoryEvent::Table);
@@ -102,6 +105,7 @@
             revision: self.revision,
             whole: true,
             events: table.chain(entries).collect(),
+            age: Duration::ZERO,
         }
     }
 }
--- a/policy/src/directory/directory_feed.rs
+++ b/policy/src/directory/directory_feed.rs
@@ -42,6 +42,8 @@
 /// Age from which the copy is not passed on to other daemons: the pause between two reads and the
 /// time that a call may take.
 const ANSWER_AGE_MAX: Duration = Duration::from_millis(1_600);
+/// Age from which a relay does not pass its copy on: that of a reader, and a long poll.
+const RELAY_AGE_MAX: Duration = Duration::from_millis(2_600);
 /// Longest time for which a call of another daemon is kept open while there is no change.
 const LONG_POLL_TIME: Duration = Duration::from_millis(1_000);
 /// Longest wait for the answer of a reader, which keeps a call open for a second at most.
@@ -64,6 +66,8 @@
     store_read_at: Option<TimePoint>,
     /// When a page was last received from the store or a reader.
     updated_at: TimePoint,
+    /// When the store was read to which the copy belongs.
+    known_at: TimePoint,
     /// When to read the store next after it answered. After a failure the selector has the time.
     next_store_read: TimePoint,
 }
@@ -79,6 +83,7 @@
             history_gone: false,
             store_read_at: None,
             updated_at: TimePoint(0),
+            known_at: TimePoint(0),
             next_store_read: TimePoint(0),
         }
     }
@@ -139,6 +144,7 @@
     ) -> (Vec<DirectoryEvent>, bool) {
         self.selector.store_answered();
         self.store_read_at = Some(now);
+        self.known_at = now;
         self.next_store_read = now + READ_INTERVAL;
         let recovered = self.state.store_answered(now);
         if !page.whole && !self.is_of_known_era(&page) {
@@ -177,6 +183,8 @@
     /// changes that take effect, and true if the store was known to be down.
     pub fn peer_answered(&mut self, now: TimePoint, page: FeedPage) -> (Vec<DirectoryEvent>, bool) {
         self.store_read_at = None;
+        self.selector.peer_answered();
+        self.known_at = self.known_at.max(now - page.age);
         let recovered = self.state.store_answered(now);
         // This reader has read less than this daemon. It sends the later changes once it has read
         // them.
@@ -191,7 +199,13 @@
         (self.apply_page(now, page), recovered)
     }
 
-    /// Records that a reader did not answer, or can't because it has not read the store recently.
+    /// Records that a reader or relay has no recent copy.
+    pub fn peer_stale(&mut self, now: TimePoint, daemon: &DaemonName) {
+        self.selector.peer_stale(now, daemon);
+        self.next_store_read = TimePoint(0);
+    }
+
+    /// Records that a reader or relay did not answer.
     pub fn peer_failed(&mut self, now: TimePoint, daemon: &DaemonName) {
         self.selector.peer_failed(now, daemon);
         self.next_store_read = TimePoint(0);
@@ -205,14 +219,22 @@
         after: Option<FeedPosition>,
         asked_at: TimePoint,
     ) -> FeedAnswer {
-        let fresh = self
+        let long_poll_end = asked_at + LONG_POLL_TIME;
+        let relays = self.selector.is_relay();
+        let serves = relays || (self.selector.has_relays() && self.selector.is_reader());
+        // All daemons start at the same time, and ask before the first read has ended.
+        if serves && !self.is_ready() && now < long_poll_end {
+            return FeedAnswer::Wait(long_poll_end);
+        }
+        let read_recently = self
             .store_read_at
             .is_some_and(|at| now.since(at) < ANSWER_AGE_MAX);
+        let fresh = read_recently || (relays && now.since(self.known_at) < RELAY_AGE_MAX);
         if !fresh || !self.is_ready() {
             return FeedAnswer::Stale;
         }
-        let page = self.changes.page_since(after);
-        let long_poll_end = asked_at + LONG_POLL_TIME;
+        let mut page = self.changes.page_since(after);
+        page.age = now.since(self.known_at);
         if page.events.is_empty() && now < long_poll_end {
             return FeedAnswer::Wait(long_poll_end);
         }
--- a/policy/src/directory/feed_page.rs
+++ b/policy/src/directory/feed_page.rs
@@ -1,5 +1,7 @@
 //! The message by which one daemon sends the directory to another.
 
+use std::time::Duration;
+
 use schema::DirectoryEvent;
 use serde::{
     Deserialize,
@@ -19,6 +21,9 @@
     pub whole: bool,
     /// The changes, oldest first.
     pub events: Vec<DirectoryEvent>,
+    /// Time since the store was read that the sender of the page knows of. It travels beside the page.
+    #[serde(skip)]
+    pub age: Duration,
 }
 
 impl FeedPage {
--- a/policy/src/forward/arrival_refusal.rs
+++ b/policy/src/forward/arrival_refusal.rs
@@ -71,8 +71,8 @@
             return None;
         }
         let share = match request.terms {
-            Some(_) => RELAYED_QUEUE_TIME_SHARE,
-            None => QUEUE_TIME_SHARE,
+            Some(_) if !request.is_delegated() => RELAYED_QUEUE_TIME_SHARE,
+            _ => QUEUE_TIME_SHARE,
         };
         let allowed_wait = request.goal_at.since(now).mul_f64(share);
         let mut long_waits: SmallVec<[Duration; 16]> = SmallVec::new();
--- a/policy/src/forward/attempt_dispatch.rs
+++ b/policy/src/forward/attempt_dispatch.rs
@@ -166,7 +166,7 @@
     fn handle_no_replica(&mut self, now: TimePoint, request: &mut PendingRequest, index: usize) {
         let part = &mut request.parts[index];
         part.check_at = TimePoint::NEVER;
-        if !part.in_flight.is_empty() {
+        if part.is_awaited() {
             return;
         }
         // Earlier replicas may be tried again: a replica whose connection broke may serve the next
@@ -240,7 +240,7 @@
             address,
             deadline: request.answer_by,
             extra,
-            far: self.registry.has_nearer_replica(key),
+            far: self.registry.is_seldom_used(key),
         }));
     }
 
@@ -262,8 +262,7 @@
                 self.dispatch(now, request, index, cause, actions);
                 continue;
             }
-            let in_flight = u32::try_from(part.in_flight.len()).unwrap_or(u32::MAX);
-            if !request.spec().idempotent || part.executions + in_flight >= request.max_attempts() {
+            if !request.spec().idempotent || part.attempts_used() >= request.max_attempts() {
                 request.parts[index].check_at = TimePoint::NEVER;
                 continue;
             }
@@ -313,7 +312,7 @@
 fn wait_for_budget(now: TimePoint, request: &mut PendingRequest, index: usize) {
     let give_up_at = request.goal_at.min(request.arrived + BUDGET_WAIT_MAX);
     let part = &mut request.parts[index];
-    if part.in_flight.is_empty() && now >= give_up_at {
+    if !part.is_awaited() && now >= give_up_at {
         part.state = PartState::Failed;
         return;
     }
--- a/policy/src/forward/attempt_results.rs
+++ b/policy/src/forward/attempt_results.rs
@@ -124,7 +124,7 @@
             self.retry_part(now, request, context.part, actions);
             return;
         }
-        if request.parts[context.part].in_flight.is_empty() {
+        if !request.parts[context.part].is_awaited() {
             request.parts[context.part].state = PartState::Failed;
         }
     }
@@ -179,6 +179,7 @@
         part.executions += u32::from(failure != ForwardFailure::Unconnected);
         let may_retry = failure == ForwardFailure::Unconnected
             || (idempotent && part.executions < max_attempts);
+        let may_retry = may_retry && part.attempts_used() < max_attempts.max(1);
         if part.state == PartState::Open && may_retry && waits {
             let part = &mut request.parts[context.part];
             part.awaits_verdict = true;
@@ -187,7 +188,7 @@
             }
         } else if part.state == PartState::Open && may_retry {
             self.retry_part(now, &mut request, context.part, actions);
-        } else if part.state == PartState::Open && part.in_flight.is_empty() {
+        } else if part.state == PartState::Open && !part.is_awaited() {
             part.state = PartState::Failed;
         }
         self.requests.insert(query, request);
@@ -204,8 +205,8 @@
         actions: &mut Vec<ForwardAction>,
     ) {
         let part = &request.parts[index];
-        let in_flight = u32::try_from(part.in_flight.len()).unwrap_or(u32::MAX);
-        if in_flight > 0 && part.executions + in_flight >= request.max_attempts() {
+        let is_open = !part.in_flight.is_empty() || part.branch.is_some();
+        if is_open && part.attempts_used() >= request.max_attempts() {
             return;
         }
         self.dispatch(now, request, index, "failed", actions);
--- a/policy/src/forward/forward_answer.rs
+++ b/policy/src/forward/forward_answer.rs
@@ -70,6 +70,8 @@
     Merged {
         /// Signatures of the merged replies, in the order of the shards.
         stamps: Vec<CompactString>,
+        /// Positions of these shards among those that were asked.
+        shards: Vec<u32>,
         /// Number of shards that did not reply and are left out.
         missing: usize,
         /// The merged records, greatest first.
--- a/policy/src/forward/forward_call.rs
+++ b/policy/src/forward/forward_call.rs
@@ -22,6 +22,8 @@
     pub time_left: Option<Duration>,
     /// By what the request is recognised when its caller sends it again.
     pub identity: RequestIdentity,
+    /// Positions of the shards that another daemon wants, among those of the route; empty for all.
+    pub shards: Vec<u32>,
     /// The terms, if another daemon has relayed the request to this one.
     pub terms: Option<RelayTerms>,
 }
--- a/policy/src/forward/forward_engine.rs
+++ b/policy/src/forward/forward_engine.rs
@@ -27,6 +27,7 @@
 
 use super::{
     crash_probes::CrashProbes,
+    delegate::DelegateTable,
     helper_table::HelperTable,
     pending_request::PendingRequest,
     reach_monitor::ReachMonitor,
@@ -42,6 +43,7 @@
     ForwardSettings,
     LoggedEvent,
     RefusalReason,
+    RelayRefusal,
     ReplicaKey,
     ReplicaRegistry,
     RequestIdentity,
@@ -96,7 +98,9 @@
     pub(super) last_checked: ReplicaKey,
     /// Daemons that forward requests for this one while it does not.
     pub(super) helpers: HelperTable,
-    /// Requests at these daemons.
+    /// Daemons that gather for this one while the links are there.
+    pub(super) delegates: DelegateTable,
+    /// Requests at other daemons.
     pub(super) relays: BTreeMap<AttemptId, RelayContext>,
     /// Requests of other daemons at this one.
     pub(super) intake: RelayIntake,
@@ -112,6 +116,7 @@
             reach: ReachMonitor::default(),
             last_checked: ReplicaKey::default(),
             helpers: HelperTable::new(zone, regions, settings.seed),
+            delegates: DelegateTable::new(&settings),
             relays: BTreeMap::new(),
             intake: RelayIntake::default(),
             registry: ReplicaRegistry::new(settings),
@@ -166,13 +171,19 @@
             ForwardEvent::LeavingNamed { instances } => {
                 self.on_leaving_named(now, &instances, actions);
             }
-            ForwardEvent::RelayPeersListed(peers) => self.helpers.set_peers(peers),
+            ForwardEvent::RelayPeersListed(peers) => {
+                self.delegates.set_peers(&peers);
+                self.helpers.set_peers(peers);
+            }
             ForwardEvent::OfferReceived { from, offer } => {
                 self.on_offer(now, &from, offer, actions);
             }
             ForwardEvent::RelayEnded { attempt, outcome } => {
                 self.on_relay_ended(now, attempt, outcome, actions);
             }
+            ForwardEvent::BranchGathered { attempt, answer } => {
+                self.on_branch_gathered(now, attempt, answer, actions);
+            }
             ForwardEvent::TimerFired => {
                 self.on_timer(now, actions);
                 self.check_links(now, actions);
@@ -213,7 +224,9 @@
     /// The nearest usable replica of each service in the route table `index`. The daemon opens
     /// connections to these replicas before the first request needs them.
     pub fn nearest(&self, now: TimePoint, index: &RouteIndex) -> Vec<(ReplicaKey, SocketAddr)> {
-        let services = index.table.routes.iter().flat_map(RouteSpec::services);
+        let routes = index.table.routes.iter();
+        let own = routes.filter(|route| !self.gathers_elsewhere(&route.name));
+        let services = own.flat_map(RouteSpec::services);
         let services: BTreeSet<&ServiceName> = services.collect();
         let nearest = services
             .into_iter()
@@ -304,7 +317,23 @@
         if !spec.goal.is_zero() {
             request.goal_at = now + spec.goal.saturating_sub(elapsed + GOAL_MARGIN);
         }
-        let services = self.target_services(&spec.name, &spec.target);
+        if let Some(branch) = call.terms.and_then(|terms| terms.branch) {
+            request.goal_at = now + branch.goal_left;
+        }
+        let mut services = self.target_services(&spec.name, &spec.target);
+        if !call.shards.is_empty() {
+            let wanted = call.shards.iter();
+            let wanted: Option<SmallVec<[usize; 16]>> = wanted
+                .map(|shard| services.get(*shard as usize).copied())
+                .collect();
+            let Some(wanted) = wanted else {
+                let refusal = RelayRefusal::OldTable;
+                let answer = ForwardAnswer::Declined { refusal };
+                actions.push(ForwardAction::Answer { query, answer });
+                return;
+            };
+            services = wanted;
+        }
         request.create_parts(&services);
         if self.refuse_crashing(now, &mut request, actions) {
             return;
@@ -335,10 +364,12 @@
         if self.refuse_limited(now, &request, actions) {
             return;
         }
+        self.send_branches(now, &mut request, actions);
         let sent = call.terms.is_some_and(|terms| terms.sent);
         let cause = if sent { "failed" } else { "first" };
         for part in 0..request.parts.len() {
-            if request.parts[part].state != PartState::Open {
+            if request.parts[part].state != PartState::Open || request.parts[part].branch.is_some()
+            {
                 continue;
             }
             request.parts[part].sent = sent;
@@ -351,7 +382,7 @@
 
     /// Indexes of the services to which a new request is sent. For a split route, chooses one by
     /// weight.
-    fn target_services(
+    pub(super) fn target_services(
         &mut self,
         route: &RouteName,
         target: &RouteTarget,
--- a/policy/src/forward/forward_event.rs
+++ b/policy/src/forward/forward_event.rs
@@ -13,6 +13,7 @@
 };
 
 use super::{
+    BranchAnswer,
     ForwardCall,
     ForwardFailure,
     ForwardReply,
@@ -117,6 +118,13 @@
         /// How it ended.
         outcome: RelayOutcome,
     },
+    /// Another daemon has gathered the shards of a branch.
+    BranchGathered {
+        /// The relay.
+        attempt: AttemptId,
+        /// The shards that it has got.
+        answer: BranchAnswer,
+    },
     /// The time returned by `next_wakeup` has come.
     TimerFired,
 }
--- a/policy/src/forward/forward_settings.rs
+++ b/policy/src/forward/forward_settings.rs
@@ -6,6 +6,7 @@
 };
 
 use schema::{
+    CpuCapacity,
     DaemonName,
     RegionName,
     ZoneName, //
@@ -29,6 +30,8 @@
     pub retry_budget_slack: f64,
     /// Length of the sliding window for which ratio and slack hold.
     pub retry_budget_window: Duration,
+    /// Processor capacity of this daemon, as the other daemons know it.
+    pub capacity: CpuCapacity,
 }
 
 impl Default for ForwardSettings {
@@ -41,6 +44,7 @@
             retry_budget_ratio: 0.2,
             retry_budget_slack: 0.0,
             retry_budget_window: Duration::from_secs(10),
+            capacity: CpuCapacity::default(),
         }
     }
 }
--- a/policy/src/forward/logged_event.rs
+++ b/policy/src/forward/logged_event.rs
@@ -237,6 +237,17 @@
         /// Time since the request arrived.
         age: Duration,
     },
+    /// Another daemon did not gather for this one.
+    DelegateAvoided {
+        /// The request.
+        query: QueryId,
+        /// The other daemon.
+        delegate: DaemonName,
+        /// What went wrong: `silent`, `broken` or the reason why it did not take the request.
+        cause: &'static str,
+        /// Time for which it gets no more gathers.
+        period: Duration,
+    },
     /// The relay of a request ended.
     RelayEnded {
         /// The request.
--- a/policy/src/forward/mod.rs
+++ b/policy/src/forward/mod.rs
@@ -20,6 +20,7 @@
 mod crash_refusal;
 mod crash_sites;
 mod crash_table;
+mod delegate;
 mod demand_meter;
 mod forward_action;
 mod forward_answer;
@@ -72,6 +73,7 @@
 pub use crash_key::CrashKey;
 pub use crash_refusal::CrashRefusal;
 pub use crash_table::CrashTable;
+pub use delegate::BranchAnswer;
 pub use forward_action::{
     ForwardAction,
     SendCommand, //
@@ -110,7 +112,10 @@
 };
 pub use relay_outcome::RelayOutcome;
 pub use relay_peer::RelayPeer;
-pub use relay_terms::RelayTerms;
+pub use relay_terms::{
+    BranchTerms,
+    RelayTerms, //
+};
 pub use replica_choice::PickOutcome;
 pub use replica_record::ReplicaKey;
 pub use replica_registry::ReplicaRegistry;
--- a/policy/src/forward/pending_request.rs
+++ b/policy/src/forward/pending_request.rs
@@ -7,6 +7,7 @@
 
 use schema::{
     AttemptId,
+    BundleVersion,
     DaemonName,
     QueryId,
     RouteSpec,
@@ -16,6 +17,7 @@
 use smallvec::SmallVec;
 
 use super::{
+    delegate::GatherBranch,
     request_part::{
         PartState,
         RequestPart, //
@@ -96,6 +98,8 @@
     pub(super) terms: Option<RelayTerms>,
     /// Time after which an attempt is hedged, not counting the network round trip to its replica.
     pub(super) hedge_delay: Duration,
+    /// Parts that other daemons gather for this one.
+    pub(super) branches: SmallVec<[GatherBranch; 2]>,
 }
 
 impl PendingRequest {
@@ -128,6 +132,7 @@
             keeps_direct: false,
             terms: None,
             hedge_delay: Duration::ZERO,
+            branches: SmallVec::new(),
         }
     }
 
@@ -136,6 +141,11 @@
         &self.index.table.routes[self.route]
     }
 
+    /// Version of the route table by which the request is handled to its end.
+    pub(super) fn table_version(&self) -> BundleVersion {
+        self.index.table.version
+    }
+
     /// Limit on the replicas of one service that may run the request.
     pub(super) fn max_attempts(&self) -> u32 {
         let allowed = self.terms.map_or(u32::MAX, |terms| terms.attempts);
@@ -160,6 +170,11 @@
         self.terms.is_none() && !self.keeps_direct && may_repeat
     }
 
+    /// Whether another daemon has handed over the request although it could serve it itself.
+    pub(super) fn is_delegated(&self) -> bool {
+        self.terms.is_some_and(|terms| terms.branch.is_some())
+    }
+
     /// Whether each open part has an attempt in flight.
     pub(super) fn is_in_flight(&self) -> bool {
         let mut open = self
@@ -175,6 +190,9 @@
         if let RouteTarget::Gather { min_share, .. } = self.spec().target {
             self.needed = parts_needed(services.len(), min_share);
         }
+        if let Some(branch) = self.terms.and_then(|terms| terms.branch) {
+            self.needed = (branch.needed as usize).clamp(1, services.len().max(1));
+        }
     }
 
     /// Whether the answer is merged from the replies of several shards.
@@ -219,7 +237,9 @@
 
     /// Whether a replica may have run any part of the request.
     pub(super) fn may_have_run(&self) -> bool {
-        let ran = |part: &RequestPart| part.executions > 0 || !part.in_flight.is_empty();
+        let ran = |part: &RequestPart| {
+            part.executions > 0 || !part.in_flight.is_empty() || part.branch.is_some()
+        };
         let relayed = self.relay_broke || matches!(self.relay, RelayState::Sent { .. });
         relayed || self.parts.iter().any(ran)
     }
@@ -238,6 +258,8 @@
             .filter(|part| part.state == PartState::Open);
         let check_at = open.map(|part| part.check_at).min();
         let mut at = self.answer_by.min(check_at.unwrap_or(TimePoint::NEVER));
+        let silent_at = self.branches.iter().map(|branch| branch.silent_at).min();
+        at = at.min(silent_at.unwrap_or(TimePoint::NEVER));
         if self.done_parts() < self.needed {
             return at;
         }
--- a/policy/src/forward/relay_dispatch.rs
+++ b/policy/src/forward/relay_dispatch.rs
@@ -31,6 +31,8 @@
 
 /// Time that the way back from a helper takes at most, which is kept free before the deadline.
 const RELAY_MARGIN: Duration = Duration::from_millis(30);
+/// Longest time to open a connection to a helper; several round trips to the farthest data centre.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Longest time for which a request waits for the first offer of a helper: the question to a daemon of
 /// another region, and to a next one.
 const OFFER_WAIT_MAX: Duration = Duration::from_millis(300);
@@ -49,11 +51,13 @@
 /// A request at another daemon.
 #[derive(Clone, Debug)]
 pub(super) struct RelayContext {
-    query: QueryId,
-    helper: DaemonName,
-    sent_at: TimePoint,
+    pub(super) query: QueryId,
+    pub(super) helper: DaemonName,
+    pub(super) sent_at: TimePoint,
     /// Replicas of one service on which the helper may run it.
-    granted: u32,
+    pub(super) granted: u32,
+    /// Whether this daemon could serve the request itself.
+    pub(super) delegated: bool,
 }
 
 impl ForwardEngine {
@@ -72,6 +76,9 @@
                 refusal,
             }));
         }
+        if offer != Err(RelayRefusal::NoAnswer) {
+            self.delegates.record_sign(now, daemon);
+        }
         for to in self.helpers.record_offer(now, daemon, offer) {
             self.ask_helper(now, to, actions);
         }
@@ -95,6 +102,10 @@
         let Some(context) = self.relays.remove(&attempt) else {
             return;
         };
+        if context.delegated {
+            self.on_branch_failed(now, attempt, context, outcome, actions);
+            return;
+        }
         self.helpers.record_end(now, &context.helper, Some(outcome));
         actions.push(ForwardAction::Log(LoggedEvent::RelayEnded {
             query: context.query,
@@ -159,8 +170,11 @@
         request: &mut PendingRequest,
         actions: &mut Vec<ForwardAction>,
     ) {
+        self.cancel_branches(request, actions);
+        request.branches.clear();
         for part in &mut request.parts {
             self.dequeue(part);
+            part.executions += part.branch.take().map_or(0, |(_, granted)| granted);
             for attempt in std::mem::take(&mut part.in_flight) {
                 part.executions += 1;
                 self.cancel_attempt(now, attempt, actions);
@@ -199,6 +213,7 @@
             age: now.since(request.arrived),
             attempts: granted,
             sent: request.parts.iter().any(|part| part.sent) || request.relay_broke,
+            branch: None,
         };
         self.helpers.record_send(&helper);
         self.relays.insert(
@@ -208,6 +223,7 @@
                 helper: helper.clone(),
                 sent_at: now,
                 granted,
+                delegated: false,
             },
         );
         actions.push(ForwardAction::Log(LoggedEvent::RequestRelayed {
@@ -220,9 +236,12 @@
             attempt,
             query: request.query,
             to: helper,
+            shards: Vec::new(),
+            table: request.table_version(),
             time_left: request
                 .deadline
                 .map(|deadline| deadline.since(now).saturating_sub(RELAY_MARGIN)),
+            connect_timeout: CONNECT_TIMEOUT,
             answer_by: request.answer_by,
             terms,
         }));
--- a/policy/src/forward/relay_intake.rs
+++ b/policy/src/forward/relay_intake.rs
@@ -69,8 +69,11 @@
         if own_table < their_table {
             return Err(RelayRefusal::OldTable);
         }
-        self.intake.record_ask(now, from.clone(), helpers);
-        self.update_borrowed(now);
+        // A daemon that names no helpers only wants a sign of life.
+        if helpers > 0 {
+            self.intake.record_ask(now, from.clone(), helpers);
+            self.update_borrowed(now);
+        }
         match self.intake.free() {
             0 => Err(RelayRefusal::NoRoom),
             free => Ok(free),
@@ -87,7 +90,11 @@
         if !self.reach.is_connected() {
             return Some(RelayRefusal::Stranded);
         }
-        if self.intake.free() == 0 || self.overload_retry_after(now, request).is_some() {
+        // A delegate refuses its own callers and those of others alike where the replicas are overloaded:
+        // the other daemon would find the same queues.
+        let overloaded =
+            !request.is_delegated() && self.overload_retry_after(now, request).is_some();
+        if self.intake.free() == 0 || overloaded {
             return Some(RelayRefusal::NoRoom);
         }
         None
--- a/policy/src/forward/relay_offer.rs
+++ b/policy/src/forward/relay_offer.rs
@@ -11,6 +11,8 @@
     NoRoom,
     /// Its route table is older than that of the other daemon.
     OldTable,
+    /// Its route table is newer than that of the other daemon, which could serve the request itself.
+    NewTable,
     /// It did not answer.
     NoAnswer,
 }
@@ -23,6 +25,7 @@
             Self::NotReady => "not_ready",
             Self::NoRoom => "no_room",
             Self::OldTable => "old_table",
+            Self::NewTable => "new_table",
             Self::NoAnswer => "no_answer",
         }
     }
--- a/policy/src/forward/relay_peer.rs
+++ b/policy/src/forward/relay_peer.rs
@@ -1,6 +1,7 @@
 //! Other daemons, as far as relays are concerned.
 
 use schema::{
+    CpuCapacity,
     DaemonName,
     ZoneName, //
 };
@@ -12,4 +13,6 @@
     pub daemon: DaemonName,
     /// Its data centre.
     pub zone: ZoneName,
+    /// Its processor capacity; 0 if it does not gather for others.
+    pub capacity: CpuCapacity,
 }
--- a/policy/src/forward/replica_choice.rs
+++ b/policy/src/forward/replica_choice.rs
@@ -42,7 +42,7 @@
     pub fn pick(&mut self, now: TimePoint, service: usize, tried: &[ReplicaKey]) -> PickOutcome {
         let state = &self.services[service];
         let median_ms = service_median_ms(state);
-        let limit = self.connection_limit(state.max_connections);
+        let limit = self.connection_limit(now, state);
         let mut best: Option<(f64, ReplicaKey, bool)> = None;
         let mut limited: Option<(Duration, ReplicaKey)> = None;
         for key in &state.replicas {
@@ -115,7 +115,7 @@
         let Some(record) = self.records.get(&key) else {
             return false;
         };
-        let limit = self.connection_limit(self.services[record.service].max_connections);
+        let limit = self.connection_limit(now, &self.services[record.service]);
         record.is_usable(now) && record.in_flight.len() < limit && !record.is_on_trial()
     }
 
@@ -180,8 +180,21 @@
         nearest.map(|(key, record)| (key, record.entry.address))
     }
 
+    /// Whether this daemon should close a connection to the replica soon: another one is nearer, or other
+    /// daemons gather from its service. Delegates need connections to all replicas for hedges.
+    pub(super) fn is_seldom_used(&self, key: ReplicaKey) -> bool {
+        let Some(record) = self.records.get(&key) else {
+            return false;
+        };
+        let state = &self.services[record.service];
+        match state.sharers {
+            Some(_) => false,
+            None => state.gathered_elsewhere || self.has_nearer_replica(key),
+        }
+    }
+
     /// Whether another replica of the same service has a shorter round trip.
-    pub(super) fn has_nearer_replica(&self, key: ReplicaKey) -> bool {
+    fn has_nearer_replica(&self, key: ReplicaKey) -> bool {
         let Some(record) = self.records.get(&key) else {
             return false;
         };
--- a/policy/src/forward/replica_registry.rs
+++ b/policy/src/forward/replica_registry.rs
@@ -50,8 +50,10 @@
 const MEDIAN_QUANTILE: f32 = 0.5;
 /// Share of a replica's connections that all daemons together may use. The rest is reserved for
 /// connections of daemons that lost power: a replica keeps those open until its idle timeout.
-const CONNECTION_SHARE: f64 = 0.6;
-/// Assumed number of daemons that share the connections, until others are known.
+pub(super) const CONNECTION_SHARE: f64 = 0.6;
+/// Time after the start in which other daemons are expected to become known.
+const JOIN_PERIOD: Duration = Duration::from_secs(5);
+/// Assumed number of daemons that share the connections, if no other one is known after that.
 const DEFAULT_DAEMONS: u32 = 8;
 /// Number of connections to a replica that a daemon may always hold.
 const CONNECTIONS_MIN: usize = 2;
@@ -60,6 +62,8 @@
 /// Share of the retry budget's slack that is used. The rest covers daemons that this one does not
 /// know of, and attempts of an earlier window that arrive late.
 const SLACK_SHARE: f64 = 0.6;
+/// Part of that share which the daemons that gather for others divide among themselves.
+const DELEGATE_SLACK_SHARE: f64 = 0.6;
 /// Share of the retry budget's ratio that is used, for the same reason.
 const RATIO_SHARE: f64 = 0.92;
 /// Range of the fixed cost, different for each daemon and replica, that is added for replicas in
@@ -88,7 +92,7 @@
     /// requests; 1 is the whole share of one daemon.
     pub(super) borrowed_shares: f64,
     /// Number of daemons that share retry budgets and connections; 0 until it is known.
-    daemons: u32,
+    pub(super) daemons: u32,
     pub(super) random: Pcg64Mcg,
 }
 
@@ -135,6 +139,8 @@
             queue: PartQueue::default(),
             latency: LatencySketch::default(),
             max_connections: DEFAULT_CONNECTIONS,
+            sharers: None,
+            gathered_elsewhere: false,
         });
         self.service_indexes.insert(name.clone(), index);
         index
@@ -166,21 +172,40 @@
     /// A request past its goal (`late`) may not use the last half of the budget, which is kept for
     /// requests that can still be in time.
     pub(super) fn spend_budget(&mut self, now: TimePoint, service: usize, late: bool) -> bool {
-        let slack = self.budget_slack(now);
+        let slack = self.budget_slack(now, service);
         let budget = &mut self.services[service].budget;
         budget.set_slack(slack);
         (!late || budget.has_half_left()) && budget.try_spend(now)
     }
 
+    /// Whether the retry budget of a service allows another attempt.
+    pub(super) fn has_budget(&mut self, now: TimePoint, service: usize) -> bool {
+        let slack = self.budget_slack(now, service);
+        let budget = &mut self.services[service].budget;
+        budget.set_slack(slack);
+        budget.allows(now)
+    }
+
     /// This daemon's part of the retry budget's slack, which all daemons share. It is zero while no
     /// other daemon is known, and for the first window after the start, because the daemon does not
-    /// know what it spent before a restart.
-    fn budget_slack(&mut self, now: TimePoint) -> f64 {
+    /// know what it spent before a restart. Daemons that gather for others get a part of it for
+    /// themselves.
+    fn budget_slack(&mut self, now: TimePoint, service: usize) -> f64 {
         let started_at = *self.started_at.get_or_insert(now);
         if self.daemons < 2 || now.since(started_at) < self.settings.retry_budget_window {
             return 0.0;
         }
-        self.settings.retry_budget_slack * SLACK_SHARE / f64::from(self.daemons)
+        let slack = self.settings.retry_budget_slack * SLACK_SHARE;
+        let even = slack / f64::from(self.daemons);
+        let state = &self.services[service];
+        match state.sharers {
+            Some(sharers) => {
+                let own = slack * DELEGATE_SLACK_SHARE / f64::from(sharers.max(1));
+                own + even * (1.0 - DELEGATE_SLACK_SHARE)
+            }
+            None if state.gathered_elsewhere => even * (1.0 - DELEGATE_SLACK_SHARE),
+            None => even,
+        }
     }
 
     /// Adds a replica or updates its directory entry. Returns the key of an earlier instance of the
@@ -322,14 +347,19 @@
         Duration::from_secs_f64(record.map_or(0.0, |record| record.round_trip_ms) / 1000.0)
     }
 
-    /// Number of connections that this daemon may hold to a replica that accepts `accepted`
-    /// connections from all daemons together.
-    pub(super) fn connection_limit(&self, accepted: u32) -> usize {
-        let daemons = match self.daemons {
-            0 | 1 => DEFAULT_DAEMONS,
-            daemons => daemons,
+    /// Number of connections that this daemon may hold to a replica of a service.
+    pub(super) fn connection_limit(&self, now: TimePoint, state: &ServiceState) -> usize {
+        // After a restart of all daemons none knows yet how many there are.
+        let started_at = self.started_at.unwrap_or(now);
+        if self.daemons == 0 && now.since(started_at) < JOIN_PERIOD {
+            return CONNECTIONS_MIN;
+        }
+        let daemons = match (state.sharers, self.daemons) {
+            (Some(sharers), _) => sharers.max(1),
+            (None, 0 | 1) => DEFAULT_DAEMONS,
+            (None, daemons) => daemons,
         };
-        let share = f64::from(accepted) * CONNECTION_SHARE / f64::from(daemons);
+        let share = f64::from(state.max_connections) * CONNECTION_SHARE / f64::from(daemons);
         let share = share * (1.0 + self.borrowed_shares);
         (share as usize).max(CONNECTIONS_MIN)
     }
--- a/policy/src/forward/request_completion.rs
+++ b/policy/src/forward/request_completion.rs
@@ -48,7 +48,10 @@
             request.timer_at = TimePoint::NEVER;
             if now < request.answer_by {
                 match request.relay {
-                    RelayState::Direct => self.process_due_parts(now, &mut request, actions),
+                    RelayState::Direct => {
+                        self.end_silent_branches(now, &mut request, actions);
+                        self.process_due_parts(now, &mut request, actions);
+                    }
                     RelayState::Waiting { .. } => self.send_relay(now, &mut request, actions),
                     RelayState::Sent { .. } | RelayState::Ended(_) => {}
                 }
@@ -102,6 +105,7 @@
         };
         self.request_timers.remove(&(request.timer_at, query));
         self.cancel_relay(now, &request, actions);
+        self.cancel_branches(&request, actions);
         self.intake.in_flight -= u32::from(request.terms.is_some());
         for part in &mut request.parts {
             self.dequeue(part);
@@ -147,6 +151,7 @@
         };
         self.request_timers.remove(&(request.timer_at, query));
         self.cancel_relay(now, &request, actions);
+        self.cancel_branches(&request, actions);
         self.intake.in_flight -= u32::from(request.terms.is_some());
         for part in &mut request.parts {
             self.dequeue(part);
@@ -190,17 +195,20 @@
             attempt: attempt.unwrap_or_default(),
         };
     };
+    let mut shards = Vec::with_capacity(request.parts.len());
     let mut stamps = Vec::with_capacity(request.parts.len());
     let mut bodies = Vec::with_capacity(request.parts.len());
-    for part in &request.parts {
+    for (index, part) in request.parts.iter().enumerate() {
         let PartState::Done { stamp, records } = &part.state else {
             continue;
         };
+        shards.push(index as u32);
         stamps.push(stamp.clone());
         bodies.push(records);
     }
     ForwardAnswer::Merged {
         missing: request.parts.len() - stamps.len(),
+        shards,
         records: merge_records(bodies.into_iter(), top),
         stamps,
     }
--- a/policy/src/forward/request_part.rs
+++ b/policy/src/forward/request_part.rs
@@ -40,6 +40,9 @@
     pub(super) tried: SmallVec<[ReplicaKey; 3]>,
     /// Attempts in flight.
     pub(super) in_flight: SmallVec<[AttemptId; 2]>,
+    /// The branch in which another daemon gathers the part, and the replicas on which that daemon may run
+    /// it.
+    pub(super) branch: Option<(AttemptId, u32)>,
     /// Number of ended attempts that a replica may have run.
     pub(super) executions: u32,
     /// Whether the part has been sent to any replica.
@@ -64,6 +67,7 @@
             state: PartState::Open,
             tried: SmallVec::new(),
             in_flight: SmallVec::new(),
+            branch: None,
             executions: 0,
             sent: false,
             check_at: TimePoint::NEVER,
@@ -73,4 +77,16 @@
             relayed: None,
         }
     }
+
+    /// Whether a reply may still come that was asked for.
+    pub(super) fn is_awaited(&self) -> bool {
+        !self.in_flight.is_empty() || self.branch.is_some()
+    }
+
+    /// Replicas that may have run the part, or that may still run it.
+    pub(super) fn attempts_used(&self) -> u32 {
+        let in_flight = u32::try_from(self.in_flight.len()).unwrap_or(u32::MAX);
+        let granted = self.branch.map_or(0, |(_, granted)| granted);
+        self.executions + in_flight + granted
+    }
 }
--- a/policy/src/forward/retry_budget.rs
+++ b/policy/src/forward/retry_budget.rs
@@ -47,14 +47,20 @@
 
     /// Takes an extra attempt out of the budget; returns false if none is left.
     pub fn try_spend(&mut self, now: TimePoint) -> bool {
-        let slot = self.advance(now);
-        if self.remaining() < 1.0 {
+        if !self.allows(now) {
             return false;
         }
+        let slot = self.advance(now);
         self.extra_attempts[slot] += 1;
         true
     }
 
+    /// Whether an extra attempt is left.
+    pub fn allows(&mut self, now: TimePoint) -> bool {
+        self.advance(now);
+        self.remaining() >= 1.0
+    }
+
     /// Sets the number of extra attempts that this daemon may send in a window in addition to the
     /// ratio.
     pub fn set_slack(&mut self, slack: f64) {
--- a/policy/src/forward/route_state.rs
+++ b/policy/src/forward/route_state.rs
@@ -1,8 +1,17 @@
 //! Latency statistics and load balancing of one route.
 
-use std::time::Duration;
+use std::{
+    rc::Rc,
+    time::Duration, //
+};
+
+use schema::{
+    BundleVersion,
+    TimePoint, //
+};
 
 use super::{
+    delegate::GatherPlan,
     LatencySketch,
     WeightedBalancer, //
 };
@@ -25,6 +34,11 @@
 pub(super) struct RouteState {
     /// Latencies of the replies without the network round trip.
     pub(super) latency: LatencySketch,
+    /// Latencies of the answers of other daemons that gather for this one.
+    pub(super) delegated: LatencySketch,
+    /// Which daemons gather for the route, when that was decided, and for which generation of members and
+    /// which route table.
+    pub(super) plan: Option<(TimePoint, (u64, BundleVersion), Rc<GatherPlan>)>,
     /// Distributes the requests of a split route over its services.
     pub(super) balancer: WeightedBalancer,
     /// Longest time until a deadline that a caller has sent. A request with this much time left is
--- a/policy/src/forward/service_state.rs
+++ b/policy/src/forward/service_state.rs
@@ -24,4 +24,17 @@
     pub(super) latency: LatencySketch,
     /// Number of connections that each replica accepts from all daemons together.
     pub(super) max_connections: u32,
+    /// Number of daemons that share these connections, if this one is among the few that gather for the
+    /// others.
+    pub(super) sharers: Option<u32>,
+    /// Whether other daemons gather from it for this one.
+    pub(super) gathered_elsewhere: bool,
+}
+
+impl ServiceState {
+    /// Sets which daemons gather from the service.
+    pub(super) fn set_gathered(&mut self, sharers: Option<u32>, elsewhere: bool) {
+        self.sharers = sharers;
+        self.gathered_elsewhere = elsewhere;
+    }
 }
--- a/policy/tests/crash_bench/mod.rs
+++ b/policy/tests/crash_bench/mod.rs
@@ -178,6 +178,7 @@
             route: 0,
             time_left: Some(ms(3_000)),
             identity,
+            shards: Vec::new(),
             terms: None,
         };
         self.notify(daemon, ForwardEvent::Arrived { query, call });
--- a/policy/tests/directory.rs
+++ b/policy/tests/directory.rs
@@ -145,6 +145,7 @@
         revision,
         whole,
         events,
+        age: Duration::ZERO,
     }
 }
 
@@ -461,3 +462,104 @@
     assert!(due > NOW + ms(3_600) && due < NOW + ms(8_000));
     assert_eq!(state.on_timer(due), [DirectoryEvent::Seen(drains(false))]);
 }
+
+/// Data centres of a large fleet, with 50 daemons each.
+fn large_fleet() -> BTreeMap<String, DirectoryFeed> {
+    let peers: Vec<FeedPeer> = (0..300)
+        .map(|number| FeedPeer {
+            zone: format!("z{}", number % 6).parse().unwrap(),
+            ..peer(&format!("d{number}"))
+        })
+        .collect();
+    let feed_of = |own: &FeedPeer| {
+        let mut feed = DirectoryFeed::new(own.clone(), BTreeMap::new());
+        let others = peers.iter().filter(|peer| peer.daemon != own.daemon);
+        feed.set_peers(others.cloned().collect());
+        (own.daemon.to_string(), feed)
+    };
+    peers.iter().map(feed_of).collect()
+}
+
+/// Guards against readers that send the directory to hundreds of daemons, and against hundreds of daemons
+/// that read the store because the readers can't.
+#[test]
+fn relays_pass_the_directory_on_in_a_large_fleet() {
+    let mut asked: BTreeMap<String, usize> = BTreeMap::new();
+    let mut readers = 0;
+    for feed in large_fleet().values_mut() {
+        match feed.next_step(NOW) {
+            FeedStep::AskPeer { daemon, .. } => *asked.entry(daemon.to_string()).or_default() += 1,
+            FeedStep::ReadAll => readers += 1,
+            step => panic!("{step:?}"),
+        }
+    }
+    assert_eq!(readers, 2);
+    // Two relays in each data centre, or readers among them.
+    assert!(asked.len() <= 14, "{asked:?}");
+    let most = asked.values().max();
+    assert!(most <= Some(&50), "more than a data centre: {asked:?}");
+}
+
+/// Guards against a relay that passes on what it has while its own source has been silent for long, also
+/// around a circle of relays.
+#[test]
+fn a_relay_does_not_pass_on_an_old_directory() {
+    let mut fleet = large_fleet();
+    let mut asked = Vec::new();
+    for feed in fleet.values_mut() {
+        if let FeedStep::AskPeer { daemon, .. } = feed.next_step(NOW) {
+            asked.push(daemon.to_string());
+        }
+    }
+    let is_relay = |name: &&String| {
+        let feed = &fleet[*name];
+        matches!(feed.clone().next_step(NOW), FeedStep::AskPeer { .. })
+    };
+    let name = asked.iter().find(is_relay).unwrap().clone();
+    let relay = fleet.get_mut(&name).unwrap();
+    // All start together: a daemon that asks before the relay has the directory is answered once it has.
+    assert!(matches!(relay.answer(NOW, None, NOW), FeedAnswer::Wait(_)));
+    let read = FeedPage {
+        age: ms(1_000),
+        ..whole_page(10)
+    };
+    relay.peer_answered(NOW, read);
+    let FeedAnswer::Page(passed_on) = relay.answer(NOW, None, NOW) else {
+        panic!("the relay sent no page");
+    };
+    assert_eq!(passed_on.age, ms(1_000));
+    let later = NOW + ms(1_500);
+    assert!(matches!(
+        relay.answer(later, None, later),
+        FeedAnswer::Page(_)
+    ));
+    // An answer of a daemon that is as old does not renew it.
+    let old = FeedPage {
+        age: ms(2_700),
+        ..page(10, false, Vec::new())
+    };
+    relay.peer_answered(NOW + ms(1_700), old);
+    let later = NOW + ms(1_700);
+    assert_eq!(relay.answer(later, None, later), FeedAnswer::Stale);
+}
+
+/// Guards against hundreds of daemons that call a store which is down or turns them away, while those
+/// that read it for them have lost it, too.
+#[test]
+fn followers_leave_a_lost_store_to_readers_and_relays() {
+    let mut callers = 0;
+    for feed in large_fleet().values_mut() {
+        let mut now = NOW;
+        while now < NOW + ms(2_000) {
+            match feed.next_step(now) {
+                FeedStep::AskPeer { daemon, .. } => feed.peer_stale(now, &daemon),
+                FeedStep::Wait { until } => now = until.max(now + ms(1)),
+                FeedStep::ReadAll | FeedStep::ReadChanges { .. } => {
+                    callers += 1;
+                    break;
+                }
+            }
+        }
+    }
+    assert!((2..=14).contains(&callers), "{callers}");
+}
--- a/policy/tests/directory_bytes.rs
+++ b/policy/tests/directory_bytes.rs
@@ -101,6 +101,7 @@
         revision: 1,
         whole: true,
         events: vec![table(1, 10)],
+        age: Duration::ZERO,
     };
     feed.store_answered(NOW, whole);
     let change = FeedPage {
@@ -108,6 +109,7 @@
         revision: 2,
         whole: false,
         events: vec![table(2, routes)],
+        age: Duration::ZERO,
     };
     feed.store_answered(NOW, change);
     let after = Some(FeedPosition {
--- a/policy/tests/forward_connections.rs
+++ b/policy/tests/forward_connections.rs
@@ -20,6 +20,7 @@
     ReplicaRegistry, //
 };
 use schema::{
+    CpuCapacity,
     ReplicaEntry,
     ZoneName, //
 };
@@ -46,6 +47,7 @@
         retry_budget_ratio: 0.2,
         retry_budget_slack: 160.0,
         retry_budget_window: Duration::from_secs(10),
+        capacity: CpuCapacity(120),
     });
     for shard in 0..SHARDS {
         for (zone, _) in ZONES.iter().step_by(2) {
--- a/policy/tests/forward_kit/mod.rs
+++ b/policy/tests/forward_kit/mod.rs
@@ -12,6 +12,7 @@
 };
 
 use policy::forward::{
+    BranchAnswer,
     ForwardAction,
     ForwardAnswer,
     ForwardCall,
@@ -40,6 +41,7 @@
 use schema::{
     AttemptId,
     BundleVersion,
+    CpuCapacity,
     DaemonName,
     QueryId,
     ReplicaEntry,
@@ -225,12 +227,16 @@
     pub(crate) cuts: BTreeMap<usize, SimulatedCut>,
     /// Daemons that answer no other daemon: frozen, killed, cut off or of an older build.
     pub(crate) mute: BTreeSet<usize>,
+    /// What delegates have gathered, on its way back.
+    branch_answers: BTreeMap<(usize, AttemptId), BranchAnswer>,
     /// How all relays end at once, if they do.
     pub(crate) relays_end: Option<&'static str>,
     /// Questions for offers, with their time, by the daemon that asks.
     pub(crate) asks: Vec<(TimePoint, usize)>,
     /// Relays that were sent: time, from, to, terms.
     pub(crate) sent_relays: Vec<(TimePoint, usize, usize, RelayTerms)>,
+    /// The route table of each, and the positions of the shards.
+    pub(crate) relayed_shards: Vec<(BundleVersion, Vec<u32>)>,
     /// The terms of relayed requests, by the daemon that forwards them.
     pub(crate) relay_terms: BTreeMap<(usize, QueryId), RelayTerms>,
     /// Events for the log, each with its daemon.
@@ -273,6 +279,7 @@
                 seed: daemon as u64,
                 retry_budget_ratio: 0.2,
                 retry_budget_slack: 56.0,
+                capacity: CpuCapacity(120),
                 ..ForwardSettings::default()
             };
             engines.push(ForwardEngine::new(settings));
@@ -293,9 +300,11 @@
             relayed: BTreeMap::new(),
             cuts: BTreeMap::new(),
             mute: BTreeSet::new(),
+            branch_answers: BTreeMap::new(),
             relays_end: None,
             asks: Vec::new(),
             sent_relays: Vec::new(),
+            relayed_shards: Vec::new(),
             relay_terms: BTreeMap::new(),
             logged: Vec::new(),
             last_event: 0,
@@ -320,6 +329,7 @@
             let peers = others.map(|other| RelayPeer {
                 daemon: name_of(other),
                 zone: zones[other].parse().unwrap(),
+                capacity: CpuCapacity(120),
             });
             let peers = peers.collect();
             simulation.notify_engine(daemon, ForwardEvent::RelayPeersListed(peers));
@@ -327,6 +337,12 @@
         simulation
     }
 
+    /// Puts another route table in force at a daemon; its requests are of this table from now on.
+    pub(crate) fn apply_table(&mut self, daemon: usize, table: RouteTable) {
+        self.index = Arc::new(RouteIndex::new(table));
+        self.notify_engine(daemon, ForwardEvent::TableApplied(self.index.clone()));
+    }
+
     /// Registers a replica of `service`.
     pub(crate) fn add(&mut self, service: &str, name: &str, model: ReplicaModel) {
         let entry = entry_of(service, name, &model);
@@ -377,6 +393,7 @@
             route,
             time_left: Some(time_left),
             identity: RequestIdentity::default(),
+            shards: Vec::new(),
             terms: None,
         };
         self.calls.insert((daemon, query), call.clone());
@@ -508,6 +525,8 @@
                 ForwardAction::Relay(command) => {
                     let to = number_of(&command.to);
                     self.sent_relays.push((now, daemon, to, command.terms));
+                    let shards = (command.table, command.shards.clone());
+                    self.relayed_shards.push(shards);
                     let attempt = command.attempt;
                     self.relays.insert((daemon, attempt), command);
                     let event = PlannedEvent::RelayArrives(daemon, attempt, to);
@@ -521,6 +540,17 @@
                     let outcome = match answer {
                         ForwardAnswer::NotRun { .. } => "not_run",
                         ForwardAnswer::Declined { refusal } => refusal.as_str(),
+                        ForwardAnswer::Merged {
+                            stamps,
+                            shards,
+                            records,
+                            ..
+                        } => {
+                            let stamps = shards.into_iter().zip(stamps).collect();
+                            let answer = BranchAnswer { stamps, records };
+                            self.branch_answers.insert((from, attempt), answer);
+                            "answered"
+                        }
                         _ => "answered",
                     };
                     let event = PlannedEvent::RelayEnds(from, attempt, outcome);
@@ -647,6 +677,7 @@
                 let call = ForwardCall {
                     time_left: command.time_left,
                     terms: Some(command.terms),
+                    shards: command.shards.clone(),
                     ..self.calls[&(from, command.query)].clone()
                 };
                 self.request_times.insert((to, query), self.now);
@@ -655,7 +686,15 @@
                 self.notify_engine(to, ForwardEvent::Arrived { query, call });
             }
             PlannedEvent::RelayEnds(daemon, attempt, outcome) => {
-                if self.relays.remove(&(daemon, attempt)).is_none() {
+                let Some(RelayCommand { terms, .. }) = self.relays.remove(&(daemon, attempt))
+                else {
+                    return;
+                };
+                let of_branch = |terms: RelayTerms| terms.branch.is_some();
+                let answer = self.branch_answers.remove(&(daemon, attempt));
+                if let Some(answer) = answer.filter(|_| of_branch(terms)) {
+                    let event = ForwardEvent::BranchGathered { attempt, answer };
+                    self.notify_engine(daemon, event);
                     return;
                 }
                 let outcome = match outcome {
@@ -821,6 +860,7 @@
         "no_room" => RelayRefusal::NoRoom,
         "old_table" => RelayRefusal::OldTable,
         "not_ready" => RelayRefusal::NotReady,
+        "new_table" => RelayRefusal::NewTable,
         _ => RelayRefusal::NoAnswer,
     }
 }
--- a/policy/tests/limit_bench/mod.rs
+++ b/policy/tests/limit_bench/mod.rs
@@ -311,6 +311,7 @@
             route: 0,
             time_left: Some(ms(3_000)),
             identity: RequestIdentity::default(),
+            shards: Vec::new(),
             terms: None,
         };
         self.notify(daemon, ForwardEvent::Arrived { query, call });
--- a/schema/src/lib.rs
+++ b/schema/src/lib.rs
@@ -35,6 +35,7 @@
 }
 
 mod bundle_digest;
+mod cpu_capacity;
 mod crash_notice;
 mod crash_tally;
 mod deployment_spec;
@@ -59,6 +60,10 @@
 mod yaml;
 
 pub use bundle_digest::BundleDigest;
+pub use cpu_capacity::{
+    CapacityError,
+    CpuCapacity, //
+};
 pub use crash_notice::CrashNotice;
 pub use crash_tally::{
     CrashSite,
--- a/schema/tests/generator/mod.rs
+++ b/schema/tests/generator/mod.rs
@@ -32,6 +32,9 @@
     config
         .out_dir(&scratch)
         .btree_map(["."])
+        // The largest bodies, so that the others take less memory.
+        .boxed(".pollentally.peer.StreamBody.body.branch_call")
+        .boxed(".pollentally.peer.StreamBody.body.branch_reply")
         .type_attribute(".", "#[derive(serde::Serialize, serde::Deserialize)]")
         .message_attribute(".", "#[serde(default, deny_unknown_fields)]")
         .enum_attribute(".", "#[serde(rename_all = \"snake_case\")]");
