Wait as briefly as before for other daemons after a restart

A restarted daemon waited 400 ms instead of 100 ms for another one before it read the store. The longer wait was to save calls to the store in large fleets, where the relays have taken most of them anyway.

--- a/daemon/src/forward/run_forward.rs
+++ b/daemon/src/forward/run_forward.rs
@@ -126,7 +126,7 @@
 /// Time to find the other daemons before the store is read, if all daemons start at once.
 const FIRST_JOIN_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// The same for a restart, when the other daemons already run.
-const RESTART_JOIN_TIMEOUT: Duration = Duration::from_millis(400);
+const RESTART_JOIN_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time for the last answers to other daemons to be written before their connections are closed.
 const PEER_FLUSH_TIME: Duration = Duration::from_millis(20);
 /// Time for the last replies to be written before the process ends.
--- a/policy/tests/peers_builds.rs
+++ b/policy/tests/peers_builds.rs
@@ -12,7 +12,6 @@
 };
 use schema::peer::{
     stream_body::Body,
-
     SharedCall,
     StreamBody, //
 };
