--- a/policy/src/directory/change_log.rs
+++ b/policy/src/directory/change_log.rs
@@ -1,12 +1,13 @@
 //! The latest changes of the directory, kept for the daemons that read it from this one.
 
-use std::collections::{
-    BTreeMap,
-    VecDeque, //
+use std::{
+    collections::{
+        BTreeMap,
+        VecDeque, //
+    },
+    time::Duration, //
 };
 
-use std::time::Duration;
-
 use schema::{
     DirectoryEvent,
     ReplicaEntry,
--- a/policy/src/forward/delegate/delegate_choice.rs
+++ b/policy/src/forward/delegate/delegate_choice.rs
@@ -124,3 +124,16 @@
         zones
     }
 }
+
+/// The services among `services` that another daemon wants, at the positions `shards`, or all of them if it
+/// names none; `None` if the route has fewer.
+pub(in super::super) fn wanted_services(
+    services: SmallVec<[usize; 16]>,
+    shards: &[u32],
+) -> Option<SmallVec<[usize; 16]>> {
+    if shards.is_empty() {
+        return Some(services);
+    }
+    let wanted = shards.iter().map(|shard| services.get(*shard as usize));
+    wanted.map(Option::<&usize>::copied).collect()
+}
--- a/policy/src/forward/delegate/mod.rs
+++ b/policy/src/forward/delegate/mod.rs
@@ -5,6 +5,7 @@
 //! message is needed to agree. Nothing here knows how a request travels between daemons.
 
 mod branch_answer;
+mod branch_failures;
 mod delegate_choice;
 mod delegate_dispatch;
 mod delegate_record;
@@ -13,6 +14,7 @@
 mod gather_plan;
 
 pub use branch_answer::BranchAnswer;
+pub(super) use delegate_choice::wanted_services;
 pub(super) use delegate_table::DelegateTable;
 pub(super) use gather_branch::GatherBranch;
 pub(super) use gather_plan::GatherPlan;
--- a/policy/src/forward/forward_engine.rs
+++ b/policy/src/forward/forward_engine.rs
@@ -27,7 +27,10 @@
 
 use super::{
     crash_probes::CrashProbes,
-    delegate::DelegateTable,
+    delegate::{
+        wanted_services,
+        DelegateTable, //
+    },
     helper_table::HelperTable,
     pending_request::PendingRequest,
     reach_monitor::ReachMonitor,
@@ -320,20 +323,13 @@
         if let Some(branch) = call.terms.and_then(|terms| terms.branch) {
             request.goal_at = now + branch.goal_left;
         }
-        let mut services = self.target_services(&spec.name, &spec.target);
-        if !call.shards.is_empty() {
-            let wanted = call.shards.iter();
-            let wanted: Option<SmallVec<[usize; 16]>> = wanted
-                .map(|shard| services.get(*shard as usize).copied())
-                .collect();
-            let Some(wanted) = wanted else {
-                let refusal = RelayRefusal::OldTable;
-                let answer = ForwardAnswer::Declined { refusal };
-                actions.push(ForwardAction::Answer { query, answer });
-                return;
-            };
-            services = wanted;
-        }
+        let services = self.target_services(&spec.name, &spec.target);
+        let Some(services) = wanted_services(services, &call.shards) else {
+            let refusal = RelayRefusal::OldTable;
+            let answer = ForwardAnswer::Declined { refusal };
+            actions.push(ForwardAction::Answer { query, answer });
+            return;
+        };
         request.create_parts(&services);
         if self.refuse_crashing(now, &mut request, actions) {
             return;
--- a/policy/src/forward/mod.rs
+++ b/policy/src/forward/mod.rs
@@ -13,6 +13,7 @@
 mod arrival_refusal;
 mod attempt_dispatch;
 mod attempt_results;
+mod budget_shares;
 mod crash_evidence;
 mod crash_key;
 mod crash_probes;
