Hold expired registrations also where others have called the lost store

In a large fleet only readers and relays call a store that is down. A daemon that hears from a relay that it has lost the store takes the store for down now, as if its own call had failed.

expired_registrations_are_held_by_daemons_that_did_not_call_the_store failed before and passes.

--- a/daemon/src/forward/forward_peers.rs
+++ b/daemon/src/forward/forward_peers.rs
@@ -350,7 +350,13 @@
             failure => {
                 match failure {
                     None => self.feed.peer_failed(now, daemon),
-                    Some(_) => self.feed.peer_stale(now, daemon),
+                    Some(_) => {
+                        if self.feed.peer_stale(now, daemon) {
+                            self.metrics.store_lost.inc();
+                            let problem = "the daemon that reads it has lost it";
+                            log_event!(self.log.logger, events::STORE_FAILED, "problem" => problem);
+                        }
+                    }
                 }
                 if self.log.take_permit(now, true) {
                     log_event!(self.log.logger, events::READER_FAILED, "name" => %daemon);
--- a/policy/src/directory/directory_feed.rs
+++ b/policy/src/directory/directory_feed.rs
@@ -199,10 +199,13 @@
         (self.apply_page(now, page), recovered)
     }
 
-    /// Records that a reader or relay has no recent copy.
-    pub fn peer_stale(&mut self, now: TimePoint, daemon: &DaemonName) {
+    /// Records that a reader or relay has no recent copy. In a large fleet this daemon learns only so that the
+    /// store was lost, and that registrations have expired without their replicas' end. Returns true if that
+    /// is news.
+    pub fn peer_stale(&mut self, now: TimePoint, daemon: &DaemonName) -> bool {
         self.selector.peer_stale(now, daemon);
         self.next_store_read = TimePoint(0);
+        self.selector.has_relays() && self.state.store_failed()
     }
 
     /// Records that a reader or relay did not answer.
--- a/policy/tests/directory.rs
+++ b/policy/tests/directory.rs
@@ -552,7 +552,9 @@
         let mut now = NOW;
         while now < NOW + ms(2_000) {
             match feed.next_step(now) {
-                FeedStep::AskPeer { daemon, .. } => feed.peer_stale(now, &daemon),
+                FeedStep::AskPeer { daemon, .. } => {
+                    feed.peer_stale(now, &daemon);
+                }
                 FeedStep::Wait { until } => now = until.max(now + ms(1)),
                 FeedStep::ReadAll | FeedStep::ReadChanges { .. } => {
                     callers += 1;
@@ -563,3 +565,21 @@
     }
     assert!((2..=14).contains(&callers), "{callers}");
 }
+
+/// Guards against a large fleet that drops all replicas whose registrations have expired while the store was
+/// down: they are back some seconds after its return, and only readers and relays called it meanwhile.
+#[test]
+fn expired_registrations_are_held_by_daemons_that_did_not_call_the_store() {
+    let mut fleet = large_fleet();
+    for feed in fleet.values_mut() {
+        let FeedStep::AskPeer { daemon, .. } = feed.next_step(NOW) else {
+            continue;
+        };
+        feed.peer_answered(NOW, whole_page(10));
+        feed.peer_stale(NOW + ms(3_000), &daemon);
+        let expired = page(12, false, vec![removed("x")]);
+        let (effects, recovered) = feed.peer_answered(NOW + ms(4_000), expired);
+        assert_eq!((effects, recovered), (Vec::new(), true));
+        assert!(feed.next_wakeup() > NOW + ms(5_000));
+    }
+}
