Reproduce late sends of requests that crash their replicas, as known red

Callers see 502 and replicas go down: a request under which three replicas have ended is sent on. Three tests without network count each arrival at a replica later than the settle period, over all daemons and callers, as the platform does; the former counts took the retries that reached any replica, and none had several daemons at the end of one refusal or replicas that crash together.

--- a/policy/tests/crash_bench/mod.rs
+++ b/policy/tests/crash_bench/mod.rs
@@ -59,6 +59,8 @@
     /// Daemons that get no reports.
     pub(crate) cut_off: Vec<usize>,
     pub(crate) last_query: u64,
+    /// Each send, with its time.
+    pub(crate) send_log: Vec<(TimePoint, QueryId)>,
 }
 
 impl CrashBench {
@@ -74,6 +76,7 @@
             probes: 0,
             cut_off: Vec::new(),
             last_query: 0,
+            send_log: Vec::new(),
         };
         for _ in 0..daemons {
             bench.add_daemon();
@@ -137,7 +140,10 @@
         let mut health_checks = Vec::new();
         for action in actions {
             match action {
-                ForwardAction::Send(command) => self.sent.push((daemon, command)),
+                ForwardAction::Send(command) => {
+                    self.send_log.push((self.now, command.query));
+                    self.sent.push((daemon, command));
+                }
                 ForwardAction::Cancel { attempt } => {
                     self.sent
                         .retain(|(other, command)| (*other, command.attempt) != (daemon, attempt));
@@ -295,12 +301,65 @@
         matches!(self.answer(query), ForwardAnswer::NotRun { reason: found, .. } if *found == reason)
     }
 
+    pub(crate) fn is_served(&self, query: QueryId) -> bool {
+        matches!(
+            self.answer(query),
+            ForwardAnswer::Relayed { .. } | ForwardAnswer::Merged { .. }
+        )
+    }
+
     pub(crate) fn counted(&self) -> usize {
         let counted = |event: &&LoggedEvent| matches!(event, LoggedEvent::CrashCounted { .. });
         self.logged.iter().filter(counted).count()
     }
 }
 
+/// Counts the sends of a request that crashes its replicas as the platform does.
+#[derive(Debug, Default)]
+pub(crate) struct SendCount {
+    pub(crate) crashes: usize,
+    third_crash: Option<TimePoint>,
+    pub(crate) late_sends: usize,
+}
+
+impl SendCount {
+    /// Sends the request once more at each of `daemons` at the same moment, and crashes all replicas that
+    /// get it.
+    pub(crate) fn arrive(
+        &mut self,
+        bench: &mut CrashBench,
+        daemons: &[usize],
+        identity: impl Fn(usize) -> RequestIdentity,
+    ) {
+        let logged = bench.send_log.len();
+        let arrivals = daemons.iter();
+        let queries = arrivals.map(|daemon| bench.arrive(*daemon, identity(*daemon)));
+        let queries: Vec<QueryId> = queries.collect();
+        let answered = |bench: &CrashBench, query: &QueryId| {
+            let mut answers = bench.answers.iter();
+            answers.any(|(answered, _)| answered == query)
+        };
+        loop {
+            let attempts = queries.iter().map(|query| bench.attempts_of(*query));
+            let attempts: Vec<_> = attempts.flatten().collect();
+            if attempts.is_empty() && queries.iter().all(|query| answered(bench, query)) {
+                break;
+            }
+            bench.break_attempts(&attempts, ProbeOutcome::Refused);
+            self.crashes += attempts.len();
+            if self.crashes >= 3 {
+                self.third_crash.get_or_insert(bench.now);
+            }
+            bench.advance(ms(20));
+        }
+        let third_crash = self.third_crash;
+        let late = |at: TimePoint| third_crash.is_some_and(|third| at.since(third) > SETTLE_PERIOD);
+        let sends = bench.send_log[logged..].iter();
+        let of_queries = sends.filter(|(_, query)| queries.contains(query));
+        self.late_sends += of_queries.filter(|(at, _)| late(*at)).count();
+    }
+}
+
 pub(crate) fn single() -> RouteTarget {
     RouteTarget::Single("s0".parse().unwrap())
 }
