--- a/daemon/tests/forward.rs
+++ b/daemon/tests/forward.rs
@@ -339,6 +339,37 @@
     assert!(daemon.log().contains("E1005"));
 }
 
+/// Guards against requests that are cut with no answer at the end of a planned stop: those that may not be
+/// repeated and last longer than what is left, among them one that came late.
+#[test]
+fn requests_that_outlast_a_stop_are_answered() {
+    let unsafe_route = RouteText {
+        safe: false,
+        ..RouteText::single("/one/", "s1")
+    };
+    let mut cluster = ForwardCluster::start(&[unsafe_route]);
+    let replica = FakeReplica::start(&cluster.store, "s1", "i-1", "z1");
+    let mut daemon = cluster.ready_daemon("z1");
+    replica.set_fault(ReplicaFault::Slow(Duration::from_secs(30)));
+    let callers = daemon.callers();
+    let pauses = [0, 1_000, 2_000, 2_500];
+    let requests = pauses.map(|pause| {
+        thread::spawn(move || {
+            thread::sleep(Duration::from_millis(pause));
+            let id = format!("late-{pause}");
+            call(callers, "POST /one/x", &id, Duration::from_secs(20), b"")
+        })
+    });
+    thread::sleep(Duration::from_millis(100));
+    daemon.signal("TERM");
+    for (pause, request) in pauses.into_iter().zip(requests) {
+        let answer = request.join().unwrap();
+        // The request may have run, so that no status is allowed that says the contrary.
+        assert!([502, 504].contains(&answer.status), "{pause}: {answer:?}");
+    }
+    daemon.wait();
+}
+
 #[test]
 fn sighup_does_not_stop_the_daemon() {
     let mut cluster = ForwardCluster::start(&[RouteText::single("/one/", "s1")]);
