--- a/daemon/src/forward/forward_loop.rs
+++ b/daemon/src/forward/forward_loop.rs
@@ -34,10 +34,8 @@
 use schema::{
     peer::stream_body::Body,
     AttemptId,
-    CrashNotice,
     DaemonName,
     QueryId,
-    QueryPrint,
     TimePoint,
     ZoneName, //
 };
@@ -55,10 +53,7 @@
 };
 
 use super::{
-    crash_store::{
-        self,
-        KeepOrder, //
-    },
+    crash_store::KeepOrder,
     exchange_call::ExchangeCall,
     forward_log::ForwardLog,
     forward_metrics::ForwardMetrics,
@@ -71,10 +66,7 @@
         CONNECT_TIMEOUT, //
     },
     reply_budget::ReplyBudget,
-    store_reader::{
-        ReadError,
-        StoreReader, //
-    },
+    store_reader::StoreReader, //
 };
 use crate::{
     clock::DaemonClock,
@@ -310,36 +302,6 @@
         }
     }
 
-    /// Has the store keep or forget the crashes under a request.
-    fn keep_crashes(&self, order: KeepOrder) {
-        // The keeper ends only with the process.
-        let _ = self.keep_orders.send(order);
-    }
-
-    /// Claims a trial of a refused request in a task of its own, which reports the outcome to the loop.
-    fn claim_trial(&self, now: TimePoint, query: QueryId, notice: CrashNotice) {
-        let (store, events) = (self.reader.clone(), self.events.clone());
-        let print = notice.print;
-        spawn_local(async move {
-            let outcome = crash_store::claim(store, now, notice).await;
-            // The channel is closed only when the process ends.
-            let _ = events.send(InboxEvent::TrialClaimed(query, print, outcome));
-        });
-    }
-
-    fn end_keep(&mut self, now: TimePoint, print: QueryPrint, result: &Result<bool, ReadError>) {
-        if let Err(error) = result {
-            if self.log.take_permit(now, true) {
-                log_event!(
-                    self.log.logger, events::CRASHES_NOT_KEPT,
-                    "print" => %print, "problem" => error.to_string(),
-                );
-            }
-        }
-        let kept = matches!(result, Ok(true));
-        self.dispatch(now, ForwardEvent::CrashesKept { print, kept });
-    }
-
     /// Opens a connection to the nearest replica of each service that has no idle one. Without
     /// this, a request to several shards would wait until a connection to each of them is set up.
     fn preconnect(&mut self, now: TimePoint) {
--- a/daemon/src/forward/mod.rs
+++ b/daemon/src/forward/mod.rs
@@ -4,6 +4,7 @@
 mod arrived_request;
 mod caller_reply;
 mod crash_store;
+mod crash_tasks;
 mod exchange_call;
 mod forward_feed;
 mod forward_gauges;
--- a/policy/src/forward/attempt_dispatch.rs
+++ b/policy/src/forward/attempt_dispatch.rs
@@ -32,6 +32,30 @@
 const BUDGET_WAIT_MAX: Duration = Duration::from_secs(1);
 
 impl ForwardEngine {
+    /// Sends a new request to a replica of each of its services, or hands shards to delegates. One under
+    /// suspicion stays at this daemon, which waits for the first reply.
+    pub(super) fn send_first(
+        &mut self,
+        now: TimePoint,
+        request: &mut PendingRequest,
+        actions: &mut Vec<ForwardAction>,
+    ) {
+        let mut indexes = 0..request.parts.len();
+        if !indexes.any(|index| self.is_suspect(request, index)) {
+            self.send_branches(now, request, actions);
+        }
+        let sent = request.terms.is_some_and(|terms| terms.sent);
+        let cause = if sent { "failed" } else { "first" };
+        for index in 0..request.parts.len() {
+            let part = &mut request.parts[index];
+            if part.state != PartState::Open || part.branch.is_some() {
+                continue;
+            }
+            part.sent = sent;
+            self.dispatch(now, request, index, cause, actions);
+        }
+    }
+
     /// Sends part `index` of `request` to a replica. If the best replica has no free connection the
     /// part is queued; if the retry budget is used up it is tried again later. `cause` is the
     /// reason for the attempt: `first`, `late` (a hedge) or `failed` (a retry).
--- a/policy/src/forward/crash_table.rs
+++ b/policy/src/forward/crash_table.rs
@@ -18,7 +18,6 @@
 //! since they may have seen the same cause.
 
 use std::{
-    cmp::Reverse,
     collections::BTreeMap,
     time::Duration, //
 };
@@ -41,7 +40,6 @@
     CrashRefusal,
     SeenCrash, //
 };
-use crate::rotation::entries_after;
 
 /// Time for which a request is refused after the third, the fourth, and each further crash. At the
 /// end of each period one request is let through in the whole fleet, as long as trials are left.
@@ -59,30 +57,20 @@
 /// Delay before the other daemons learn of a first crash. Most requests that a crash hits by chance
 /// succeed on another replica within it, and are not reported.
 const REPORT_DELAY: Duration = Duration::from_millis(500);
-/// Interval at which known crashes are reported again, for daemons that were cut off.
-const REPEAT_INTERVAL: Duration = Duration::from_secs(2);
-/// Notices that are reported again in each interval.
-const REPEAT_NOTICES: usize = 4;
-/// Notices that are reported at a time, and the interval between two such batches. Each notice is
-/// sent several times; more would fill the queue in which changes of the members wait too.
-const REPORT_NOTICES: usize = 16;
-const REPORT_INTERVAL: Duration = Duration::from_millis(50);
-/// Notices that a daemon hands to one that joins.
-const SYNC_NOTICES: usize = 512;
 
 /// Counts crashes by request and decides which requests are refused.
 #[derive(Clone, Debug)]
 pub struct CrashTable {
     pub(super) records: BTreeMap<QueryPrint, CrashRecord>,
     /// The earliest `report_at` of all records.
-    next_report: TimePoint,
-    next_repeat: TimePoint,
+    pub(super) next_report: TimePoint,
+    pub(super) next_repeat: TimePoint,
     /// The earliest `condemn_at` and `keep_at` of all records.
     pub(super) next_check: TimePoint,
     /// Fingerprints whose notices the store need not keep any longer.
     pub(super) dropped: Vec<QueryPrint>,
     /// The notices of refused and of other requests that were reported again last.
-    last_repeated: [QueryPrint; 2],
+    pub(super) last_repeated: [QueryPrint; 2],
 }
 
 impl Default for CrashTable {
@@ -344,80 +332,6 @@
         has_news
     }
 
-    /// When [`Self::due_notices`] has to be called; [`TimePoint::NEVER`] if nothing is remembered.
-    pub fn next_wakeup(&self) -> TimePoint {
-        self.next_report.min(self.next_repeat)
-    }
-
-    /// Forgets what has expired, and returns the notices that are to be reported now.
-    pub fn due_notices(&mut self, now: TimePoint) -> Vec<CrashNotice> {
-        let mut notices = Vec::new();
-        if self.next_repeat <= now {
-            let dropped = &mut self.dropped;
-            self.records.retain(|print, record| {
-                let expired = record.notice.expires_at <= now;
-                if expired && record.kept_expiry != TimePoint::default() {
-                    dropped.push(*print);
-                }
-                !expired
-            });
-            self.next_repeat = match self.records.is_empty() {
-                true => TimePoint::NEVER,
-                false => now + REPEAT_INTERVAL,
-            };
-            notices = self.repeat_notices();
-        }
-        if self.next_report > now {
-            return notices;
-        }
-        let records = self.records.values_mut();
-        let (mut due, later): (Vec<_>, Vec<_>) =
-            records.partition(|record| record.report_at <= now);
-        due.sort_by_key(|record| Reverse(record.notice.evidence()));
-        let next_batch = match due.len() > REPORT_NOTICES {
-            true => now + REPORT_INTERVAL,
-            false => TimePoint::NEVER,
-        };
-        let next_report = later.iter().map(|record| record.report_at).min();
-        self.next_report = next_batch.min(next_report.unwrap_or(TimePoint::NEVER));
-        for record in due.into_iter().take(REPORT_NOTICES) {
-            record.report_at = TimePoint::NEVER;
-            record.shared = true;
-            notices.push(record.notice.clone());
-        }
-        notices
-    }
-
-    /// The notices for a daemon that joins, those with most crashes first.
-    pub fn sync_notices(&self) -> Vec<CrashNotice> {
-        let records = self.records.values();
-        let mut notices: Vec<&CrashNotice> = records.map(|record| &record.notice).collect();
-        notices.sort_by_key(|notice| Reverse(notice.evidence()));
-        notices.into_iter().take(SYNC_NOTICES).cloned().collect()
-    }
-
-    /// The next notices in the order of fingerprints that other daemons have or had: first those of
-    /// refused requests, of which a daemon that was cut off must learn soon.
-    fn repeat_notices(&mut self) -> Vec<CrashNotice> {
-        let mut notices: Vec<CrashNotice> = Vec::new();
-        for (index, refused) in [true, false].into_iter().enumerate() {
-            let count = match refused {
-                true => REPEAT_NOTICES,
-                false => REPEAT_NOTICES.saturating_sub(notices.len()).max(1),
-            };
-            let all = entries_after(&self.records, Some(&self.last_repeated[index]));
-            let shared = all
-                .filter(|(_, record)| record.shared && record.has_enough_crashes() == refused)
-                .map(|(_, record)| record.notice.clone());
-            let chosen: Vec<CrashNotice> = shared.take(count).collect();
-            if let Some(last) = chosen.last() {
-                self.last_repeated[index] = last.print;
-            }
-            notices.extend(chosen);
-        }
-        notices
-    }
-
     /// Looks whether enough replicas have ended under a request to refuse it, now or later.
     fn watch_ended(&mut self, now: TimePoint, print: QueryPrint, sent_at: TimePoint) {
         let Some(record) = self.records.get_mut(&print) else {
@@ -431,11 +345,6 @@
         }
     }
 
-    pub(super) fn schedule_report(&mut self, now: TimePoint, at: TimePoint) {
-        self.next_report = self.next_report.min(at);
-        self.next_repeat = self.next_repeat.min(now + REPEAT_INTERVAL);
-    }
-
     /// Forgets the record of `print` if it has expired. Makes room for a new one: removes the
     /// record with the least evidence, and of those the one that expires first.
     fn make_room(&mut self, now: TimePoint, print: QueryPrint) {
--- a/policy/src/forward/forward_engine.rs
+++ b/policy/src/forward/forward_engine.rs
@@ -36,7 +36,6 @@
     reach_monitor::ReachMonitor,
     relay_dispatch::RelayContext,
     relay_intake::RelayIntake,
-    request_part::PartState,
     route_state::RouteState,
     CrashTable,
     ForwardAction,
@@ -379,30 +378,6 @@
         self.complete_or_schedule(now, query, actions);
     }
 
-    /// Sends a new request to a replica of each of its services, or hands shards to delegates. One under
-    /// suspicion stays at this daemon, which waits for the first reply.
-    pub(super) fn send_first(
-        &mut self,
-        now: TimePoint,
-        request: &mut PendingRequest,
-        actions: &mut Vec<ForwardAction>,
-    ) {
-        let mut indexes = 0..request.parts.len();
-        if !indexes.any(|index| self.is_suspect(request, index)) {
-            self.send_branches(now, request, actions);
-        }
-        let sent = request.terms.is_some_and(|terms| terms.sent);
-        let cause = if sent { "failed" } else { "first" };
-        for index in 0..request.parts.len() {
-            let part = &mut request.parts[index];
-            if part.state != PartState::Open || part.branch.is_some() {
-                continue;
-            }
-            part.sent = sent;
-            self.dispatch(now, request, index, cause, actions);
-        }
-    }
-
     /// Indexes of the services to which a new request is sent. For a split route, chooses one by
     /// weight.
     pub(super) fn target_services(
--- a/policy/src/forward/mod.rs
+++ b/policy/src/forward/mod.rs
@@ -19,6 +19,7 @@
 mod crash_probes;
 mod crash_record;
 mod crash_refusal;
+mod crash_reports;
 mod crash_sites;
 mod crash_table;
 mod crash_trials;
