--- a/policy/src/forward/crash_evidence.rs
+++ b/policy/src/forward/crash_evidence.rs
@@ -268,7 +268,8 @@
         request: &PendingRequest,
         index: usize,
     ) -> bool {
-        if self.crashes.is_empty() || !request.parts[index].sent || request.done_parts() > 0 {
+        let was_sent = request.parts.iter().any(|part| part.sent);
+        if self.crashes.is_empty() || !was_sent || request.done_parts() > 0 {
             return false;
         }
         let keys = self.part_keys(request, index);
--- a/policy/tests/forward_late_sends.rs
+++ b/policy/tests/forward_late_sends.rs
@@ -235,3 +235,23 @@
     count.arrive(&mut bench, &[0], |_| identity("/all", 1));
     assert!(count.crashes <= 13, "{count:?}");
 }
+
+/// Guards against the loss of a replica of each shard to a query that several callers send at once: while it is
+/// not clear what has ended the replicas, each of them may cost one.
+#[test]
+fn a_query_of_several_callers_ends_one_replica_for_each() {
+    let mut bench = CrashBench::new(6, gather(10, 0.89), 12);
+    let mut first = SendCount::default();
+    first.arrive(&mut bench, &[0], |_| identity("/all", 1));
+    let mut bench = CrashBench::new(6, gather(10, 0.89), 12);
+    let query = bench.arrive(0, identity("/all", 1));
+    let attempts = bench.attempts_of(query);
+    bench.break_attempts(&attempts, ProbeOutcome::Refused);
+    bench.advance(ms(200));
+    let mut others = SendCount::default();
+    others.arrive(&mut bench, &[1, 2, 3, 4, 5], |daemon| {
+        identity("/all", daemon as u8 + 1)
+    });
+    // One for each caller, and one or two by which it becomes clear.
+    assert!(others.crashes <= 7, "{others:?}");
+}
