Take no notice of another daemon for a run that began after a burst

A notice that came half a second after the third replica had ended made a request refused at once, as only a run that began then may; first crashes are reported half a second late, so that a harmless request had 0.5 s instead of 1.5 s to succeed. Found by reading; forward_late_sends, forward_crashes and forward_crash_sites pass.

--- a/policy/src/forward/crash_table.rs
+++ b/policy/src/forward/crash_table.rs
@@ -290,7 +290,7 @@
             };
             self.records.insert(print, record);
             self.schedule_report(now, now);
-            self.watch_ended(now, print, now);
+            self.watch_ended(now, print, TimePoint::default());
             return true;
         };
         record.shared = true;
@@ -328,11 +328,12 @@
             record.report_at = now;
             self.schedule_report(now, now);
         }
-        self.watch_ended(now, print, now);
+        self.watch_ended(now, print, TimePoint::default());
         has_news
     }
 
-    /// Looks whether enough replicas have ended under a request to refuse it, now or later.
+    /// Looks whether enough replicas have ended under a request to refuse it, now or later. `sent_at` is when the
+    /// run began that has ended the last one; the earliest time if another daemon has seen it.
     fn watch_ended(&mut self, now: TimePoint, print: QueryPrint, sent_at: TimePoint) {
         let Some(record) = self.records.get_mut(&print) else {
             return;
