Send a granted trial also if the store knows more crashes

A trial was granted and spent, but the request was refused all the same, if the store's notice had a crash that this daemon had not learned of: it counted as a crash of the trial, since both came at the same moment. A harmless request lost a trial. Found by reading; the test failed before (no send where one is due).

--- a/policy/src/forward/crash_table.rs
+++ b/policy/src/forward/crash_table.rs
@@ -122,7 +122,7 @@
     /// be. One that runs as a trial since `tried_at` may, until it has crashed a replica.
     pub fn check_resend(&self, key: CrashKey, tried_at: Option<TimePoint>) -> Option<CrashRefusal> {
         let record = self.records.get(&key.print)?;
-        let has_crashed = tried_at.is_none_or(|tried_at| record.last_crash_at >= tried_at);
+        let has_crashed = tried_at.is_none_or(|tried_at| record.last_crash_at > tried_at);
         let refused = record.refuses(key.site) && has_crashed;
         refused.then(|| CrashRefusal::new(&record.notice))
     }
--- a/policy/tests/forward_late_sends.rs
+++ b/policy/tests/forward_late_sends.rs
@@ -255,3 +255,16 @@
     // One for each caller, and one or two by which it becomes clear.
     assert!(others.crashes <= 7, "{others:?}");
 }
+
+/// Guards against a trial that is granted and not sent, because the store knows of a crash that this daemon
+/// learns of with the grant.
+#[test]
+fn a_trial_is_sent_though_the_store_knows_more_crashes() {
+    let (mut bench, _) = refused(2, single());
+    bench.advance(Duration::from_secs(60));
+    for notice in bench.store.values_mut() {
+        notice.crashes += 1;
+    }
+    let tried = bench.arrive(0, identity("/p", 1));
+    assert_eq!(bench.attempts_of(tried).len(), 1);
+}
