Read both ranges of the store by one loop, and drop what only tests used

- The crashes were read by a copy of the loop for the replicas, without its check that all pages are of one era; read_range has it for both.
- CrashTable::start_trial was left for one test only, which now claims the trial as the daemons do; its assertions stay.
- CrashNotice::stage instead of the same sum in two places; one branch in record_send.

--- a/daemon/src/forward/store_reader.rs
+++ b/daemon/src/forward/store_reader.rs
@@ -73,8 +73,9 @@
         Self { client }
     }
 
-    /// Reads the configuration, all replicas and the crashes that the store keeps. The pages are not a consistent snapshot, so the
-    /// result has the lowest revision among them, from which later changes are read.
+    /// Reads the configuration, all replicas and the crashes that the store keeps. The pages are not a
+    /// consistent snapshot, so the result has the lowest revision among them, from which later changes are
+    /// read.
     ///
     /// # Errors
     ///
@@ -82,50 +83,53 @@
     pub(super) async fn read_all(&self) -> Result<StoreBatch, ReadError> {
         let mut batch = StoreBatch::default();
         batch.page.whole = true;
-        let mut lowest_revision = u64::MAX;
-        let mut config_era = None;
+        batch.page.revision = u64::MAX;
+        let mut known_era = None;
         match self.get(&StoreCall::Config, ANSWER_TIMEOUT).await {
             Ok((era, answer)) => {
                 let page = read_config(&answer)?;
-                lowest_revision = page.revision;
-                config_era = Some(era);
+                batch.page.revision = page.revision;
+                known_era = Some(era);
                 batch.add_page(page);
             }
             // The configuration has not been written yet.
             Err(ReadError::Refused(StatusCode::NOT_FOUND)) => {}
             Err(error) => return Err(error),
         }
+        self.read_range(&mut batch, &mut known_era, |after| StoreCall::Replicas {
+            after,
+        })
+        .await?;
+        self.read_range(&mut batch, &mut known_era, |after| StoreCall::AllCrashes {
+            after,
+        })
+        .await?;
+        Ok(batch)
+    }
+
+    /// Reads all pages of a range into `batch`.
+    async fn read_range(
+        &self,
+        batch: &mut StoreBatch,
+        known_era: &mut Option<u64>,
+        call: impl Fn(Option<String>) -> StoreCall,
+    ) -> Result<(), ReadError> {
         let mut after = None;
         loop {
-            let call = StoreCall::Replicas { after };
-            let (era, answer) = self.get(&call, ANSWER_TIMEOUT).await?;
+            let (era, answer) = self.get(&call(after), ANSWER_TIMEOUT).await?;
             // Pages of two eras make no list.
-            if *config_era.get_or_insert(era) != era {
+            if *known_era.get_or_insert(era) != era {
                 return Err(ReadError::HistoryGone);
             }
             batch.page.era = era;
             let page = read_page(&answer)?;
-            lowest_revision = lowest_revision.min(page.revision);
+            batch.page.revision = batch.page.revision.min(page.revision);
             after = page.next_after.clone();
             batch.add_page(page);
             if after.is_none() {
-                break;
+                return Ok(());
             }
         }
-        let mut after = None;
-        loop {
-            let call = StoreCall::AllCrashes { after };
-            let (_, answer) = self.get(&call, ANSWER_TIMEOUT).await?;
-            let page = read_page(&answer)?;
-            lowest_revision = lowest_revision.min(page.revision);
-            after = page.next_after.clone();
-            batch.add_page(page);
-            if after.is_none() {
-                break;
-            }
-        }
-        batch.page.revision = lowest_revision;
-        Ok(batch)
     }
 
     /// Reads the changes since revision `after`.
--- a/policy/src/forward/crash_table.rs
+++ b/policy/src/forward/crash_table.rs
@@ -9,10 +9,12 @@
 //! request refused must also be of a run that began some time after the first one, since the
 //! replicas of a rack may crash one after the other. A success of the request on a replica shows
 //! that it does not crash each of them, and takes back the crashes of its form at the service.
+//! Besides, the replicas that have ended are counted one by one: from the third on the request is refused
+//! as well unless it succeeds soon. `crash_trials` has what may be sent after a refusal.
 //!
 //! For all callers together, a crash counts only if another caller's request crashed a replica
-//! before. A caller whose request crashes replicas therefore has no effect on harmless requests
-//! with the same content.
+//! before. A caller whose request crashes replicas therefore takes nothing from harmless requests
+//! with the same content, but that a query over shards goes to one replica first.
 //!
 //! Daemons merge their counts by taking the greater one. Counts of different daemons are not added,
 //! since they may have seen the same cause.
@@ -299,10 +301,10 @@
         let more_crashes = notice.crashes > known.crashes;
         let more_forgiven = notice.forgiven > known.forgiven;
         known.expires_at = known.expires_at.max(expires_at);
-        let (stage, known_stage) = (notice.trials + notice.passed, known.trials + known.passed);
-        if stage > known_stage {
+        let later_trial = notice.stage() > known.stage();
+        if later_trial {
             known.refused_until = notice.refused_until;
-        } else if stage == known_stage && notice.crashes >= known.crashes {
+        } else if notice.stage() == known.stage() && notice.crashes >= known.crashes {
             known.refused_until = known.refused_until.max(notice.refused_until);
         }
         known.trials = known.trials.max(notice.trials);
@@ -323,7 +325,7 @@
         }
         let more_sites = record.sites.merge(&notice.tallies);
         record.limit_evidence();
-        let has_news = more_crashes || more_forgiven || more_sites || stage > known_stage;
+        let has_news = more_crashes || more_forgiven || more_sites || later_trial;
         if has_news {
             record.report_at = now;
             self.schedule_report(now, now);
--- a/policy/src/forward/crash_trials.rs
+++ b/policy/src/forward/crash_trials.rs
@@ -15,7 +15,6 @@
 };
 
 use super::{
-    claim_trial,
     crash_table::EVIDENCE_PERIOD,
     CrashKey,
     CrashTable, //
@@ -50,17 +49,6 @@
         (may_try && record.refuses(key.site)).then(|| record.notice.clone())
     }
 
-    /// Records that a trial of a request has begun. Others with the fingerprint are refused until it has
-    /// succeeded or crashed a replica, or some time has passed.
-    pub fn start_trial(&mut self, now: TimePoint, key: CrashKey) {
-        let Some(notice) = self.trial_needed(now, key) else {
-            return;
-        };
-        if let Ok(notice) = claim_trial(now, &notice, None) {
-            self.merge(now, notice);
-        }
-    }
-
     /// Records that a replica has run a trial to its end: it takes none of the trials.
     pub fn pass_trial(&mut self, now: TimePoint, print: QueryPrint) {
         let Some(record) = self.records.get_mut(&print) else {
@@ -87,20 +75,18 @@
         }
         let record = self.records.get_mut(&key.print)?;
         let counts = record.counts_sends(now);
-        let ended = record.notice.replicas.len();
-        if counts && !tried {
-            record.notice.trials += 1;
+        let takes_trial = counts && !tried;
+        record.notice.trials += u32::from(takes_trial);
+        let send = SuspectSend {
+            ended: record.notice.replicas.len(),
+            counts,
+            left: record.notice.trials_left(),
+        };
+        if takes_trial {
             record.report_at = now;
-        }
-        let left = record.notice.trials_left();
-        if counts && !tried {
             self.schedule_report(now, now);
         }
-        Some(SuspectSend {
-            ended,
-            counts,
-            left,
-        })
+        Some(send)
     }
 
     /// Remembers a refused request for longer, because it still comes.
--- a/policy/src/forward/trial_claim.rs
+++ b/policy/src/forward/trial_claim.rs
@@ -29,10 +29,9 @@
     let Some(stored) = stored else {
         return notice;
     };
-    let (stage, stored_stage) = (ours.trials + ours.passed, stored.trials + stored.passed);
-    if stored_stage > stage {
+    if stored.stage() > ours.stage() {
         notice.refused_until = stored.refused_until;
-    } else if stored_stage == stage {
+    } else if stored.stage() == ours.stage() {
         notice.refused_until = notice.refused_until.max(stored.refused_until);
     }
     notice.crashes = notice.crashes.max(stored.crashes);
--- a/policy/tests/forward_crashes.rs
+++ b/policy/tests/forward_crashes.rs
@@ -19,6 +19,7 @@
     START, //
 };
 use policy::forward::{
+    claim_trial,
     CrashKey,
     CrashTable,
     ForwardAnswer,
@@ -391,7 +392,9 @@
         assert!(left <= period && left + ms(1_000) > period, "{left:?}");
         now = until;
         assert_eq!(table.check(now, key(1)), None);
-        table.start_trial(now, key(1));
+        let needed = table.trial_needed(now, key(1)).unwrap();
+        let granted = claim_trial(now, &needed, None).unwrap();
+        assert!(table.merge(now, granted));
         assert!(
             table.check(now, key(1)).is_some(),
             "only one is let through"
--- a/schema/src/crash_notice.rs
+++ b/schema/src/crash_notice.rs
@@ -66,6 +66,11 @@
         self.crashes.saturating_sub(self.forgiven)
     }
 
+    /// How far the trials have come: a notice with a higher stage knows of a later one.
+    pub fn stage(&self) -> u32 {
+        self.trials + self.passed
+    }
+
     /// Converts a received message. Names that are not valid are left out.
     pub fn from_note(note: &CrashNote) -> Self {
         let names = note.replicas.iter().filter_map(|name| name.parse().ok());
