--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Sends requests that may run once while a replica sends some of its refusals twice.
+folder=$(cd "$(dirname "$0")" && pwd)
+exec timeout -k 5 118 python3 "$folder/case.py"
