--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Drains replicas while the daemons of the zone that holds both readers have lost power.
+folder=$(cd "$(dirname "$0")" && pwd)
+exec timeout -k 5 118 python3 "$folder/case.py"
