--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,8 +1,9 @@
 """Replicas drain while the daemons that read the store for the others have lost power.
 
 The two daemons of kozhikode-beach read the store, the two of kollam-port ask them. The first two are
-stopped, so that they answer nothing and refuse no connection, and are killed at the end. Replicas then
-report one after the other that they drain, and callers go on sending requests to the other two daemons.
+stopped, so that they answer nothing and refuse no connection, and are killed at the end. Then one replica
+after the other reports that it drains, and another one takes its place. Callers go on sending requests to
+the other two daemons.
 """
 
 import os
@@ -14,17 +15,20 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standin"))
 from harness import BOUNDS, run_case  # noqa: E402
 
-REPLICAS = 24
+REPLICAS = 4
 DRAINS = 16
-DRAIN_INTERVAL = 0.7
+DRAIN_INTERVAL = 0.8
 SETTLE = BOUNDS["settleWindowMs"] / 1000
 BOUND = BOUNDS["drainMs"] / 1000
 
 
 def run(case):
-    for index in range(REPLICAS):
-        replica = case.add_replica("receipt-desk", f"i-{index:02}", "kollam-port")
-        replica.start_beats(0.05 * index)
+    def add_replica():
+        replica = case.add_replica("receipt-desk", f"i-{len(case.replicas):02}", "kollam-port")
+        replica.start_beats(case.record.now() + 0.3)
+
+    for _ in range(REPLICAS):
+        add_replica()
     routes = [("/receipt/", "safe", {"service": "receipt-desk"})]
     case.configure(1, routes, ["receipt-desk"])
     lost = [case.add_daemon(f"front-kozhikode-beach-{n}", "kozhikode-beach") for n in (1, 2)]
@@ -46,7 +50,9 @@
         threading.Thread(target=call, args=(daemon, f"c{index}-"), daemon=True).start()
     time.sleep(2)
     drained = {}
-    for replica in case.replicas[:DRAINS]:
+    for index in range(DRAINS):
+        add_replica()
+        replica = case.replicas[index]
         drained[replica] = replica.drain()
         case.record.write(f"replica  {replica.name} is draining, acknowledged", drained[replica])
         time.sleep(DRAIN_INTERVAL)
--- a/review/standin/harness.py
+++ b/review/standin/harness.py
@@ -573,21 +573,20 @@
             time.sleep(0.1)
         raise CannotRun("the daemons did not become ready")
 
-    def send(self, daemon, method, path, body=b"", deadline_ms=3000, caller="c", note=True):
+    def send(self, daemon, method, path, body=b"", deadline_ms=3000, caller="c", headers=()):
         """Sends a request as a caller; returns its id, when it was sent, and the status (0: no answer)."""
         with self.lock:
             self.requests += 1
             request = f"{caller}{self.requests:06d}"
-        headers = [("Request-Id", request), ("Deadline-Remaining", str(deadline_ms))]
+        headers = [("Request-Id", request), ("Deadline-Remaining", str(deadline_ms)), *headers]
         sent_at = self.record.now()
         try:
             status, fields, answer = ask(
                 (daemon.ip, FRONT_PORT), method, path, headers, body, deadline_ms / 1000 + 0.5)
         except OSError:
             status, fields, answer = 0, {}, b""
-        if note:
-            self.record.write(f"request  {request} {method} {path} to {daemon.name} "
-                              f"sent at {sent_at:.3f}: {status} {answer[:40]!r}")
+        self.record.write(f"request  {request} {method} {path} to {daemon.name} "
+                          f"sent at {sent_at:.3f}: {status} {answer[:40]!r}")
         return request, sent_at, status, fields, answer
 
     def close(self):
