--- a/review/standin/harness.py
+++ b/review/standin/harness.py
@@ -382,6 +382,9 @@
 class LinkCut:
     """Cuts processes off from the servers that ask it, by the owner of each connection."""
 
+    # The processes that may own one.
+    candidates = []
+
     def __init__(self):
         self.pids = []
         self.known = {}
@@ -396,7 +399,7 @@
             owner = self.known.get((port, own_port))
             if owner is None:
                 owner = self.known[port, own_port] = socket_owner(port, own_port)
-        return any(f"{pid}" == owner for pid in pids)
+        return owner in map(str, pids)
 
 
 def socket_owner(port, own_port):
@@ -421,9 +424,6 @@
     return ""
 
 
-LinkCut.candidates = []
-
-
 class Daemon:
     """A daemon process on a loopback address of its own."""
 
