--- a/review/standin/harness.py
+++ b/review/standin/harness.py
@@ -221,8 +221,7 @@
         return status, fields, json.dumps(body).encode()
 
     def answer(self, method, target, _headers, body, _stream):
-        if not target.startswith("/api/kv-watch"):
-            self.record.write(f"store    {method} {target}")
+        self.record.write(f"store    {method} {target}")
         url = urlsplit(target)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         if url.path == "/api/kv-watch":
@@ -553,11 +552,11 @@
         self.replicas.append(replica)
         return replica
 
-    def add_daemon(self, name, zone):
-        """Starts a daemon."""
+    def add_daemon(self, name, zone, bootstrap=True):
+        """Starts a daemon; `bootstrap` unless it replaces another one."""
         number = len(self.daemons) + 1
         seeds = [f"{self.subnet}.{index}" for index in (1, 2, 3)]
-        daemon = Daemon(self, name, zone, f"{self.subnet}.{number}", seeds)
+        daemon = Daemon(self, name, zone, f"{self.subnet}.{number}", seeds, bootstrap)
         self.daemons.append(daemon)
         return daemon
 
