Add the types of accounts, places and shared rates, and the choice of replicas by home and evacuation

API keys are kept as digests only.

ReplicaRegistry::candidates is the one function that yields the replicas of a service for a request; it leaves out those outside the request's homes. Evacuations are read with the directory and passed on beside its pages, since older builds can't decode new events; a page of an older build counts as stale.

--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -176,6 +176,10 @@
         "can't keep the crashes under a request in the store; trying again in a second";
     /// The directory is read from another source.
     SOURCE_CHANGED = "E7036" Info "directory read from another source than before";
+    /// The operator has evacuated a data centre.
+    ZONE_EVACUATED = "E7037" Info "data centre evacuated; sending its replicas no new requests";
+    /// The operator has ended the evacuation of a data centre.
+    ZONE_READMITTED = "E7038" Info "evacuation of the data centre ended; its replicas get requests again";
 }
 
 /// Logs an event of the catalogue with its code and the given fields:
--- a/daemon/src/forward/directory_calls.rs
+++ b/daemon/src/forward/directory_calls.rs
@@ -12,7 +12,8 @@
 use policy::directory::{
     FeedAnswer,
     FeedPage,
-    FeedPosition, //
+    FeedPosition,
+    PageExtension, //
 };
 use schema::{
     peer::{
@@ -90,10 +91,11 @@
         }
         let (after, shared) = wanted;
         let reply = match self.feed.answer(now, after, asked_at) {
-            FeedAnswer::Page(page) => {
+            FeedAnswer::Page(mut page) => {
                 let age = micros(page.age);
                 let held = micros(now.since(asked_at));
-                let page = postcard::to_allocvec(&(page, held)).unwrap_or_default();
+                let extension = page.take_extension();
+                let page = postcard::to_allocvec(&(page, held, extension)).unwrap_or_default();
                 match self.page_budget.try_take(now, page.len()) {
                     true => SharedReply {
                         reply: Some(DirectoryReply { page }),
@@ -157,13 +159,17 @@
                 _ => return None,
             };
             // A daemon whose directory is out of date sends an empty page, which fails to decode.
-            let Ok((page, rest)) = postcard::take_from_bytes::<FeedPage>(&reply.page) else {
+            let Ok((mut page, rest)) = postcard::take_from_bytes::<FeedPage>(&reply.page) else {
                 return Some(PeerPage::Stale);
             };
+            // A page of an older build lacks accounts and evacuations, without which no table may be used.
+            let Ok((held, extension)) = postcard::from_bytes::<(u64, PageExtension)>(rest) else {
+                return Some(PeerPage::Stale);
+            };
+            page.apply_extension(extension);
             // The time on the way is what the other daemon has not held the call for.
-            let held = postcard::from_bytes(rest).map(Duration::from_micros);
-            let on_the_way =
-                held.map_or(Duration::ZERO, |held| start.elapsed().saturating_sub(held));
+            let held = Duration::from_micros(held);
+            let on_the_way = start.elapsed().saturating_sub(held);
             Some(PeerPage::Read(FeedPage {
                 age: age + on_the_way,
                 ..page
--- a/daemon/src/forward/forward_feed.rs
+++ b/daemon/src/forward/forward_feed.rs
@@ -173,6 +173,16 @@
         match change {
             DirectoryEvent::Seen(entry) => self.dispatch(now, ForwardEvent::ReplicaListed(entry)),
             DirectoryEvent::Gone(name) => self.dispatch(now, ForwardEvent::ReplicaUnlisted(name)),
+            DirectoryEvent::Evacuated(zone) => {
+                let evacuated = true;
+                self.dispatch(now, ForwardEvent::ZoneEvacuated { zone, evacuated });
+            }
+            DirectoryEvent::Readmitted(zone) => {
+                let evacuated = false;
+                self.dispatch(now, ForwardEvent::ZoneEvacuated { zone, evacuated });
+            }
+            // No rate is shared over the fleet yet.
+            DirectoryEvent::FleetListed(_) => {}
             DirectoryEvent::Table(table) => {
                 let version = table.version;
                 let limits = table.limits;
--- a/daemon/src/forward/forward_log.rs
+++ b/daemon/src/forward/forward_log.rs
@@ -332,6 +332,15 @@
             LoggedEvent::ReplicaUnlisted { replica } => {
                 log_event!(logger, events::REPLICA_UNLISTED, "replica" => %replica);
             }
+            LoggedEvent::ZoneEvacuated {
+                zone,
+                evacuated: true,
+            } => {
+                log_event!(logger, events::ZONE_EVACUATED, "zone" => %zone);
+            }
+            LoggedEvent::ZoneEvacuated { zone, .. } => {
+                log_event!(logger, events::ZONE_READMITTED, "zone" => %zone);
+            }
             LoggedEvent::ReplicaRecovered { replica, service } => log_event!(
                 logger, events::REPLICA_RECOVERED, "replica" => %replica, "service" => %service,
             ),
--- a/daemon/src/forward/forward_requests.rs
+++ b/daemon/src/forward/forward_requests.rs
@@ -127,6 +127,7 @@
             time_left: caller_timeout.map(|timeout| timeout.saturating_sub(arrived.read_time)),
             identity,
             shards: arrived.shards,
+            account: None,
             terms: arrived.relayed.map(|(_, terms)| terms),
         };
         let query = arrived.query;
--- a/daemon/src/forward/run_forward.rs
+++ b/daemon/src/forward/run_forward.rs
@@ -44,6 +44,7 @@
 use prometheus_client::registry::Registry;
 use schema::{
     Incarnation,
+    MemberBuild,
     TimePoint, //
 };
 use slog::Logger;
@@ -82,7 +83,10 @@
         RequestHandler, //
     },
     source_log::SourceLog,
-    store_reader::StoreReader, //
+    store_reader::{
+        ReadScope,
+        StoreReader, //
+    },
 };
 use crate::{
     caller_port::CallerPort,
@@ -212,7 +216,7 @@
         PeerLink::serve(socket, PEER_KEY, &boot.vm, &boot.zone, incarnation);
     let peer_settings = PeerSettings {
         seeds: boot.seeds,
-        cell: boot.capacity.to_string().into(),
+        cell: MemberBuild::text_of(boot.capacity).into(),
         ..PeerSettings::new(
             boot.vm.clone(),
             boot.peer_address,
@@ -251,11 +255,20 @@
         capacity: boot.capacity,
     };
     let feed_settings = FeedSettings {
-        age_max: boot.drain_bound.min(boot.config_bound),
+        age_max: boot
+            .drain_bound
+            .min(boot.config_bound)
+            .min(boot.evacuation_bound.unwrap_or(Duration::MAX)),
         settle_period: boot.settle_period,
     };
     let now = clock.now();
-    let reader = StoreReader::new(store_call);
+    let reader = StoreReader::new(
+        store_call,
+        ReadScope {
+            evacuations: boot.evacuation_bound.is_some(),
+            fleet: boot.quota_bounds.is_some() || boot.cold_bounds.is_some(),
+        },
+    );
     let (keep_orders, orders) = unbounded_channel();
     spawn_local(run_keeper(reader.clone(), orders, events.clone()));
     let mut forward_loop = ForwardLoop {
--- a/daemon/src/forward/store_reader.rs
+++ b/daemon/src/forward/store_reader.rs
@@ -61,16 +61,26 @@
     pub(super) problems: Vec<PlatformError>,
 }
 
+/// What the whole directory includes beside the configuration and the replicas.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct ReadScope {
+    /// Whether data centres may be evacuated.
+    pub(super) evacuations: bool,
+    /// Whether the daemons share rates, for which they need the record of the fleet.
+    pub(super) fleet: bool,
+}
+
 /// Client for the directory in the store. Clones share their connections.
 #[derive(Clone, Debug)]
 pub(super) struct StoreReader {
     client: HttpClient,
+    scope: ReadScope,
 }
 
 impl StoreReader {
-    /// A reader that sends its requests by `call`.
-    pub(super) fn new(client: HttpClient) -> Self {
-        Self { client }
+    /// A reader of what `scope` says that sends its requests by `client`.
+    pub(super) fn new(client: HttpClient, scope: ReadScope) -> Self {
+        Self { client, scope }
     }
 
     /// Reads the configuration, all replicas and the crashes that the store keeps. The pages are not a
@@ -85,16 +95,19 @@
         batch.page.whole = true;
         batch.page.revision = u64::MAX;
         let mut known_era = None;
-        match self.get(&StoreCall::Config, ANSWER_TIMEOUT).await {
-            Ok((era, answer)) => {
-                let page = read_config(&answer)?;
-                batch.page.revision = page.revision;
-                known_era = Some(era);
-                batch.add_page(page);
-            }
-            // The configuration has not been written yet.
-            Err(ReadError::Refused(StatusCode::NOT_FOUND)) => {}
-            Err(error) => return Err(error),
+        if self.scope.evacuations {
+            // One call returns the configuration and the evacuations.
+            self.read_range(&mut batch, &mut known_era, |after| StoreCall::Operator {
+                after,
+            })
+            .await?;
+        } else {
+            self.read_item(&mut batch, &mut known_era, &StoreCall::Config)
+                .await?;
+        }
+        if self.scope.fleet {
+            self.read_item(&mut batch, &mut known_era, &StoreCall::Fleet)
+                .await?;
         }
         self.read_range(&mut batch, &mut known_era, |after| StoreCall::Replicas {
             after,
@@ -107,6 +120,29 @@
         Ok(batch)
     }
 
+    /// Reads one item into `batch`, if it has been written.
+    async fn read_item(
+        &self,
+        batch: &mut StoreBatch,
+        known_era: &mut Option<u64>,
+        call: &StoreCall,
+    ) -> Result<(), ReadError> {
+        match self.get(call, ANSWER_TIMEOUT).await {
+            Ok((era, answer)) => {
+                // Items of two eras make no directory.
+                if *known_era.get_or_insert(era) != era {
+                    return Err(ReadError::HistoryGone);
+                }
+                let page = read_config(&answer)?;
+                batch.page.revision = batch.page.revision.min(page.revision);
+                batch.add_page(page);
+                Ok(())
+            }
+            Err(ReadError::Refused(StatusCode::NOT_FOUND)) => Ok(()),
+            Err(error) => Err(error),
+        }
+    }
+
     /// Reads all pages of a range into `batch`.
     async fn read_range(
         &self,
--- a/policy/src/directory/change_log.rs
+++ b/policy/src/directory/change_log.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::{
         BTreeMap,
+        BTreeSet,
         VecDeque, //
     },
     time::Duration, //
@@ -10,9 +11,11 @@
 
 use schema::{
     DirectoryEvent,
+    FleetEntry,
     ReplicaEntry,
     ReplicaName,
-    RouteTable, //
+    RouteTable,
+    ZoneName, //
 };
 
 use super::{
@@ -33,6 +36,8 @@
     changes: VecDeque<(u64, DirectoryEvent)>,
     table: Option<Box<RouteTable>>,
     entries: BTreeMap<ReplicaName, ReplicaEntry>,
+    evacuated: BTreeSet<ZoneName>,
+    fleet: Option<FleetEntry>,
 }
 
 impl ChangeLog {
@@ -72,6 +77,22 @@
             DirectoryEvent::Gone(name) => {
                 self.entries.remove(name);
             }
+            // Each page has all of them.
+            DirectoryEvent::Evacuated(zone) => {
+                self.evacuated.insert(zone.clone());
+            }
+            DirectoryEvent::Readmitted(zone) => {
+                self.evacuated.remove(zone);
+            }
+            DirectoryEvent::FleetListed(entry) => {
+                if self.fleet.as_ref() == Some(entry) {
+                    return;
+                }
+                self.fleet = Some(entry.clone());
+                let is_fleet =
+                    |change: &DirectoryEvent| matches!(change, DirectoryEvent::FleetListed(_));
+                self.changes.retain(|(_, change)| !is_fleet(change));
+            }
         }
         self.changes.push_back((revision, change));
         while self.changes.len() > CHANGES_MAX {
@@ -97,16 +118,19 @@
                 whole: false,
                 events: newer.map(|(_, change)| change.clone()).collect(),
                 age: Duration::ZERO,
+                evacuated: Some(self.evacuated.clone()),
             };
         }
         let table = self.table.iter().cloned().map(DirectoryEvent::Table);
         let entries = self.entries.values().cloned().map(DirectoryEvent::Seen);
+        let fleet = self.fleet.iter().cloned().map(DirectoryEvent::FleetListed);
         FeedPage {
             era: self.era,
             revision: self.revision,
             whole: true,
-            events: table.chain(entries).collect(),
+            events: table.chain(entries).chain(fleet).collect(),
             age: Duration::ZERO,
+            evacuated: Some(self.evacuated.clone()),
         }
     }
 }
--- a/policy/src/directory/directory_feed.rs
+++ b/policy/src/directory/directory_feed.rs
@@ -276,8 +276,21 @@
         self.position = Some(page.position());
         let mut names = BTreeSet::new();
         let mut effects = Vec::new();
+        // The complete set replaces what the changes say; a whole read of the store lists all of them.
+        let mut evacuated = page.evacuated;
         for event in latest_events(page.events) {
-            self.changes.push(page.revision, event.clone());
+            match &event {
+                DirectoryEvent::Evacuated(zone) if page.whole => {
+                    evacuated.get_or_insert_default().insert(zone.clone());
+                    continue;
+                }
+                DirectoryEvent::Evacuated(_) | DirectoryEvent::Readmitted(_)
+                    if evacuated.is_some() =>
+                {
+                    continue;
+                }
+                _ => self.changes.push(page.revision, event.clone()),
+            }
             let effect = match event {
                 DirectoryEvent::Table(table) => self.state.apply_table(*table),
                 DirectoryEvent::Seen(entry) => {
@@ -285,26 +298,40 @@
                     self.state.apply_entry(now, entry)
                 }
                 DirectoryEvent::Gone(name) => self.state.apply_removal(now, &name),
+                DirectoryEvent::Evacuated(zone) => self.state.apply_evacuation(&zone, true),
+                DirectoryEvent::Readmitted(zone) => self.state.apply_evacuation(&zone, false),
+                DirectoryEvent::FleetListed(entry) => self.state.apply_fleet(entry),
             };
             effects.extend(effect);
         }
         if page.whole {
             effects.extend(self.state.apply_list(now, &names));
+            evacuated.get_or_insert_default();
+        }
+        if let Some(zones) = evacuated {
+            let changes = self.state.apply_evacuations(&zones);
+            for change in &changes {
+                self.changes.push(page.revision, change.clone());
+            }
+            effects.extend(changes);
         }
         effects
     }
 }
 
-/// The last event of each replica, and all route tables. Where two reads overlap, a page may begin with
+/// The last event of each replica and data centre, and all route tables. Where two reads overlap, a page may begin with
 /// changes that are known and were followed by others.
 fn latest_events(events: Vec<DirectoryEvent>) -> Vec<DirectoryEvent> {
-    let mut seen = BTreeSet::new();
+    let (mut seen, mut zones) = (BTreeSet::new(), BTreeSet::new());
     let mut latest: Vec<DirectoryEvent> = Vec::with_capacity(events.len());
     for event in events.into_iter().rev() {
         let is_latest = match &event {
             DirectoryEvent::Seen(entry) => seen.insert(entry.name.clone()),
             DirectoryEvent::Gone(name) => seen.insert(name.clone()),
-            DirectoryEvent::Table(_) => true,
+            DirectoryEvent::Evacuated(zone) | DirectoryEvent::Readmitted(zone) => {
+                zones.insert(zone.clone())
+            }
+            DirectoryEvent::Table(_) | DirectoryEvent::FleetListed(_) => true,
         };
         if is_latest {
             latest.push(event);
--- a/policy/src/directory/directory_state.rs
+++ b/policy/src/directory/directory_state.rs
@@ -19,10 +19,12 @@
 use schema::{
     BundleVersion,
     DirectoryEvent,
+    FleetEntry,
     ReplicaEntry,
     ReplicaName,
     RouteTable,
-    TimePoint, //
+    TimePoint,
+    ZoneName, //
 };
 
 /// Time after the store's return within which replicas renew expired registrations: two seconds,
@@ -55,6 +57,9 @@
     doubted_until: TimePoint,
     /// Whether a complete list of replicas has been read.
     list_read: bool,
+    /// Data centres whose replicas must get no requests.
+    evacuated: BTreeSet<ZoneName>,
+    fleet: Option<FleetEntry>,
 }
 
 impl DirectoryState {
@@ -150,6 +155,37 @@
         removals.collect()
     }
 
+    /// Applies an evacuation, or its end; returns `None` where it is known already.
+    pub fn apply_evacuation(&mut self, zone: &ZoneName, evacuated: bool) -> Option<DirectoryEvent> {
+        if evacuated {
+            let is_new = self.evacuated.insert(zone.clone());
+            return is_new.then(|| DirectoryEvent::Evacuated(zone.clone()));
+        }
+        let ended = self.evacuated.remove(zone);
+        ended.then(|| DirectoryEvent::Readmitted(zone.clone()))
+    }
+
+    /// Applies the complete set of evacuated data centres.
+    pub fn apply_evacuations(&mut self, zones: &BTreeSet<ZoneName>) -> Vec<DirectoryEvent> {
+        let ended: Vec<ZoneName> = self.evacuated.difference(zones).cloned().collect();
+        let ended = ended.iter().map(|zone| (zone, false));
+        let changes = ended.chain(zones.iter().map(|zone| (zone, true)));
+        let mut effects = Vec::new();
+        for (zone, evacuated) in changes {
+            effects.extend(self.apply_evacuation(zone, evacuated));
+        }
+        effects
+    }
+
+    /// Applies the record of the fleet; returns `None` where it is known already.
+    pub fn apply_fleet(&mut self, entry: FleetEntry) -> Option<DirectoryEvent> {
+        if self.fleet.as_ref() == Some(&entry) {
+            return None;
+        }
+        self.fleet = Some(entry.clone());
+        Some(DirectoryEvent::FleetListed(entry))
+    }
+
     /// Time at which [`Self::on_timer`] must be called.
     pub fn next_wakeup(&self) -> TimePoint {
         let removals = match self.missing.is_empty() {
--- a/policy/src/directory/mod.rs
+++ b/policy/src/directory/mod.rs
@@ -18,7 +18,10 @@
 pub use directory_feed::DirectoryFeed;
 pub use directory_state::DirectoryState;
 pub use feed_answer::FeedAnswer;
-pub use feed_page::FeedPage;
+pub use feed_page::{
+    FeedPage,
+    PageExtension, //
+};
 pub use feed_peer::FeedPeer;
 pub use feed_position::FeedPosition;
 pub use feed_settings::FeedSettings;
--- a/policy/src/forward/arrival_refusal.rs
+++ b/policy/src/forward/arrival_refusal.rs
@@ -35,15 +35,19 @@
         now: TimePoint,
         request: &PendingRequest,
     ) -> Option<ForwardAnswer> {
+        let placement = &request.placement;
         let mut usable = 0;
         let mut rest_ends: SmallVec<[TimePoint; 16]> = SmallVec::new();
         for part in &request.parts {
             if part.state != PartState::Open {
                 continue;
             }
-            if self.registry.has_usable_replica(now, part.service) {
+            if self
+                .registry
+                .has_usable_replica(now, part.service, placement)
+            {
                 usable += 1;
-            } else if let Some(until) = self.registry.rest_end(now, part.service) {
+            } else if let Some(until) = self.registry.rest_end(now, part.service, placement) {
                 rest_ends.push(until);
             }
         }
--- a/policy/src/forward/attempt_dispatch.rs
+++ b/policy/src/forward/attempt_dispatch.rs
@@ -89,12 +89,14 @@
         }
         let held_back = match request.parts[index].sent || reserved.is_some() {
             true => None,
-            false => self.registry.held_back(now, service),
+            false => self.registry.held_back(now, service, &request.placement),
         };
         let part = &request.parts[index];
         let outcome = match prepaid {
             Some(key) => PickOutcome::Picked(key),
-            None => self.registry.pick(now, service, &part.tried),
+            None => self
+                .registry
+                .pick(now, service, &request.placement, &part.tried),
         };
         let key = match outcome {
             PickOutcome::Picked(key) => key,
@@ -200,15 +202,20 @@
         // Earlier replicas may be tried again: a replica whose connection broke may serve the next
         // attempt on a new connection.
         if part.executions < request.max_attempts()
-            && self
-                .registry
-                .has_usable_replica(now, request.parts[index].service)
+            && self.registry.has_usable_replica(
+                now,
+                request.parts[index].service,
+                &request.placement,
+            )
         {
             request.parts[index].tried.clear();
             request.parts[index].check_at = now + RECHECK_INTERVAL;
             return;
         }
-        if let Some(until) = self.registry.rest_end(now, request.parts[index].service) {
+        if let Some(until) =
+            self.registry
+                .rest_end(now, request.parts[index].service, &request.placement)
+        {
             request.hold_until(until, RefusalReason::Resting);
         }
         request.parts[index].state = PartState::Failed;
--- a/policy/src/forward/forward_call.rs
+++ b/policy/src/forward/forward_call.rs
@@ -5,6 +5,8 @@
     time::Duration, //
 };
 
+use schema::AccountSpec;
+
 use super::{
     RelayTerms,
     RequestIdentity,
@@ -24,6 +26,8 @@
     pub identity: RequestIdentity,
     /// Positions of the shards that another daemon wants, among those of the route; empty for all.
     pub shards: Vec<u32>,
+    /// The caller's client account; `None` if it has none.
+    pub account: Option<Arc<AccountSpec>>,
     /// The terms, if another daemon has relayed the request to this one.
     pub terms: Option<RelayTerms>,
 }
--- a/policy/src/forward/forward_engine.rs
+++ b/policy/src/forward/forward_engine.rs
@@ -51,6 +51,7 @@
     RequestIdentity,
     RouteIndex, //
 };
+use crate::places::RequestPlacement;
 
 /// Margin before the latency goal for delays that the daemon can't measure: that of the caller's
 /// link (3 ms each way in the deployments, and as much again for a new connection) and the daemon's
@@ -168,6 +169,11 @@
             } => self.on_trial_claimed(now, query, print, outcome, actions),
             ForwardEvent::ReplicaListed(entry) => self.list_replica(now, entry, actions),
             ForwardEvent::ReplicaUnlisted(name) => self.unlist_replica(now, &name, actions),
+            ForwardEvent::ZoneEvacuated { zone, evacuated } => {
+                self.registry.set_evacuated(&zone, evacuated);
+                let event = LoggedEvent::ZoneEvacuated { zone, evacuated };
+                actions.push(ForwardAction::Log(event));
+            }
             ForwardEvent::TableApplied(index) => self.apply_table(&index),
             ForwardEvent::DaemonsCounted { daemons, others } => {
                 self.registry.set_daemons(now, daemons, others);
@@ -324,6 +330,12 @@
         request.hedge_delay = state.hedge_delay(spec.goal);
         request.deadline = call.time_left.map(|time_left| now + time_left);
         request.terms = call.terms;
+        let account_homes = call
+            .account
+            .as_ref()
+            .map_or(&[][..], |account| &account.homes);
+        request.placement = RequestPlacement::new(&spec.homes, account_homes);
+        request.account = call.account;
         let age = call.terms.map_or(Duration::ZERO, |terms| terms.age);
         let timeout = spec.timeout.saturating_sub(age);
         request.answer_by = now + timeout.min(time_left.saturating_sub(DEADLINE_MARGIN));
--- a/policy/src/forward/forward_event.rs
+++ b/policy/src/forward/forward_event.rs
@@ -10,7 +10,8 @@
     QueryId,
     QueryPrint,
     ReplicaEntry,
-    ReplicaName, //
+    ReplicaName,
+    ZoneName, //
 };
 
 use super::{
@@ -87,6 +88,13 @@
     ReplicaListed(ReplicaEntry),
     /// A replica was removed from the directory.
     ReplicaUnlisted(ReplicaName),
+    /// The evacuation of a data centre began or ended: while it lasts, its replicas get no requests.
+    ZoneEvacuated {
+        /// The data centre.
+        zone: ZoneName,
+        /// Whether it is evacuated now.
+        evacuated: bool,
+    },
     /// A new route table came into force.
     TableApplied(Arc<RouteIndex>),
     /// The number of daemons that share retry budgets and connections changed.
--- a/policy/src/forward/forward_status.rs
+++ b/policy/src/forward/forward_status.rs
@@ -7,7 +7,8 @@
     ReplicaName,
     RequestRate,
     ServiceName,
-    TimePoint, //
+    TimePoint,
+    ZoneName, //
 };
 
 use super::{
@@ -20,8 +21,8 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ForwardStatus {
     /// Number of listed replicas by state: `usable`, `draining` (by the directory or by their own
-    /// replies), `avoided` during the backoff after a failed connection, or `resting`.
-    pub replicas: [(&'static str, usize); 4],
+    /// replies), `avoided` during the backoff after a failed connection, `resting`, or `evacuated`.
+    pub replicas: [(&'static str, usize); 5],
     /// Hedges and retries that the retry budget of each service still allows.
     pub budgets: Vec<(ServiceName, u32)>,
     /// Replicas that name a limit, with the limit and this daemon's share, in requests a second.
@@ -40,12 +41,14 @@
     pub helpers: Vec<DaemonName>,
     /// Requests of other daemons that this one forwards.
     pub relayed: usize,
+    /// Data centres that are evacuated.
+    pub evacuated: Vec<ZoneName>,
 }
 
 impl ForwardEngine {
     /// Current counts for the metrics.
     pub fn status(&self, now: TimePoint) -> ForwardStatus {
-        let (mut usable, mut avoided) = (0, 0);
+        let (mut usable, mut avoided, mut evacuated) = (0, 0, 0);
         let (mut leaving, mut resting) = (Vec::new(), Vec::new());
         for record in self
             .registry
@@ -54,7 +57,9 @@
             .filter(|record| record.listed)
         {
             let rest_until = record.statements.rest_until;
-            if !record.is_wanted() {
+            if record.evacuated {
+                evacuated += 1;
+            } else if !record.is_wanted() {
                 leaving.push(record.entry.name.clone());
             } else if record.is_usable(now) {
                 usable += 1;
@@ -71,6 +76,7 @@
                 ("draining", leaving.len()),
                 ("avoided", avoided),
                 ("resting", resting.len()),
+                ("evacuated", evacuated),
             ],
             leaving,
             resting,
@@ -90,6 +96,7 @@
                 .map(|(loss, since)| (loss, now.since(since))),
             helpers: self.helpers.names(now),
             relayed: self.intake.in_flight as usize,
+            evacuated: self.registry.evacuated_zones().cloned().collect(),
         }
     }
 }
--- a/policy/src/forward/limit_evidence.rs
+++ b/policy/src/forward/limit_evidence.rs
@@ -106,7 +106,10 @@
             if part.state != PartState::Open {
                 continue;
             }
-            let Some((wait, key)) = self.registry.limit_wait(now, part.service) else {
+            let Some((wait, key)) = self
+                .registry
+                .limit_wait(now, part.service, &request.placement)
+            else {
                 continue;
             };
             if wait <= wait_max {
@@ -125,7 +128,8 @@
         }
         for part in &request.parts {
             if part.state == PartState::Open {
-                self.registry.held_back(now, part.service);
+                self.registry
+                    .held_back(now, part.service, &request.placement);
             }
         }
         self.log_held_back(now, request.query, key, "refused", actions);
--- a/policy/src/forward/logged_event.rs
+++ b/policy/src/forward/logged_event.rs
@@ -10,7 +10,8 @@
     ReplicaName,
     RequestRate,
     ServiceName,
-    TimePoint, //
+    TimePoint,
+    ZoneName, //
 };
 use smallvec::SmallVec;
 
@@ -228,6 +229,13 @@
         /// The replica that was removed.
         replica: ReplicaName,
     },
+    /// The evacuation of a data centre began or ended.
+    ZoneEvacuated {
+        /// The data centre.
+        zone: ZoneName,
+        /// Whether it is evacuated now.
+        evacuated: bool,
+    },
     /// A replica replied for the first time since its last failed connection.
     ReplicaRecovered {
         /// The replica that replied.
--- a/policy/src/forward/pending_request.rs
+++ b/policy/src/forward/pending_request.rs
@@ -6,6 +6,7 @@
 };
 
 use schema::{
+    AccountSpec,
     AttemptId,
     BundleVersion,
     DaemonName,
@@ -29,6 +30,7 @@
     RequestIdentity,
     RouteIndex, //
 };
+use crate::places::RequestPlacement;
 
 /// Share of the time until its goal that a request may spend in a queue; the rest is left for its
 /// execution.
@@ -103,6 +105,10 @@
     pub(super) branches: SmallVec<[GatherBranch; 2]>,
     /// The trial as which the request is sent on although it is refused; `None` for most requests.
     pub(super) trial: Option<RequestTrial>,
+    /// Where the request may be served.
+    pub(super) placement: RequestPlacement,
+    /// The caller's client account; `None` if it has none.
+    pub(super) account: Option<Arc<AccountSpec>>,
 }
 
 /// The trial of a request that is refused because it has crashed replicas.
@@ -149,6 +155,8 @@
             relay_broke: false,
             keeps_direct: false,
             terms: None,
+            placement: RequestPlacement::default(),
+            account: None,
             hedge_delay: Duration::ZERO,
             branches: SmallVec::new(),
             trial: None,
--- a/policy/src/forward/replica_choice.rs
+++ b/policy/src/forward/replica_choice.rs
@@ -16,6 +16,7 @@
     ReplicaKey,
     ReplicaRegistry, //
 };
+use crate::places::RequestPlacement;
 
 /// Range of the random cost that spreads requests over equal replicas in the same data centre.
 const RANDOM_SPREAD_MS: f64 = 1.0;
@@ -39,24 +40,28 @@
 impl ReplicaRegistry {
     /// Chooses the replica of `service` with the lowest cost, other than those in `tried` and those that
     /// have reached their limits.
-    pub fn pick(&mut self, now: TimePoint, service: usize, tried: &[ReplicaKey]) -> PickOutcome {
+    pub fn pick(
+        &mut self,
+        now: TimePoint,
+        service: usize,
+        placement: &RequestPlacement,
+        tried: &[ReplicaKey],
+    ) -> PickOutcome {
         let state = &self.services[service];
         let median_ms = service_median_ms(state);
         let limit = self.connection_limit(now, state);
+        let mut random = self.random.clone();
         let mut best: Option<(f64, ReplicaKey, bool)> = None;
         let mut limited: Option<(Duration, ReplicaKey)> = None;
-        for key in &state.replicas {
-            let Some(record) = self.records.get(key) else {
-                continue;
-            };
-            if !record.is_usable(now) || tried.contains(key) {
+        for (key, record) in self.candidates(service, placement) {
+            if !record.is_usable(now) || tried.contains(&key) {
                 continue;
             }
             if !self.limits.is_empty() {
-                let wait = self.limits.time_to_send(now, *key);
+                let wait = self.limits.time_to_send(now, key);
                 if let Some(wait) = wait.filter(|wait| !wait.is_zero()) {
                     if limited.is_none_or(|(shortest, _)| wait < shortest) {
-                        limited = Some((wait, *key));
+                        limited = Some((wait, key));
                     }
                     continue;
                 }
@@ -72,13 +77,14 @@
             };
             let random_cost = match record.distance_cost_ms > 0.0 {
                 true => 0.0,
-                false => self.random.random_range(0.0..RANDOM_SPREAD_MS),
+                false => random.random_range(0.0..RANDOM_SPREAD_MS),
             };
             let cost = record.cost(now, median_ms) + wait_ms + random_cost;
             if best.is_none_or(|(least, _, _)| cost < least) {
-                best = Some((cost, *key, busy));
+                best = Some((cost, key, busy));
             }
         }
+        self.random = random;
         match best {
             Some((_, key, false)) => PickOutcome::Picked(key),
             Some((_, _, true)) => PickOutcome::Busy,
@@ -91,15 +97,19 @@
 
     /// The replica of `service` that this daemon would send a first attempt but for its limit, if it
     /// has reached that.
-    pub(super) fn held_back(&mut self, now: TimePoint, service: usize) -> Option<ReplicaKey> {
+    pub(super) fn held_back(
+        &mut self,
+        now: TimePoint,
+        service: usize,
+        placement: &RequestPlacement,
+    ) -> Option<ReplicaKey> {
         if self.limits.is_empty() {
             return None;
         }
         let state = &self.services[service];
         let median_ms = service_median_ms(state);
-        let replicas = state.replicas.iter();
-        let records = replicas.filter_map(|key| Some((*key, self.records.get(key)?)));
-        let usable = records.filter(|(_, record)| record.is_usable(now));
+        let candidates = self.candidates(service, placement);
+        let usable = candidates.filter(|(_, record)| record.is_usable(now));
         let costs = usable.map(|(key, record)| (record.cost(now, median_ms), key));
         let (_, best) = costs.min_by(|(a, _), (b, _)| a.total_cmp(b))?;
         let wait = self.limits.time_to_send(now, best)?;
@@ -120,11 +130,15 @@
     }
 
     /// When a replica of `service` is usable again that rests, if all those rest that don't leave.
-    pub(super) fn rest_end(&self, now: TimePoint, service: usize) -> Option<TimePoint> {
-        let replicas = self.services[service].replicas.iter();
-        let records = replicas.filter_map(|key| self.records.get(key));
+    pub(super) fn rest_end(
+        &self,
+        now: TimePoint,
+        service: usize,
+        placement: &RequestPlacement,
+    ) -> Option<TimePoint> {
+        let candidates = self.candidates(service, placement);
         let mut first: Option<TimePoint> = None;
-        for record in records.filter(|record| record.is_wanted()) {
+        for (_, record) in candidates.filter(|(_, record)| record.is_wanted()) {
             let until = record.statements.rest_until;
             if until <= now {
                 return None;
@@ -140,30 +154,31 @@
         &self,
         now: TimePoint,
         service: usize,
+        placement: &RequestPlacement,
     ) -> Option<(Duration, ReplicaKey)> {
-        let replicas = self.services[service].replicas.iter();
-        let usable = |key: &&ReplicaKey| {
-            let record = self.records.get(key);
-            record.is_some_and(|record| record.is_usable(now))
-        };
+        let candidates = self.candidates(service, placement);
         let mut shortest: Option<(Duration, ReplicaKey)> = None;
-        for key in replicas.filter(usable) {
-            let wait = self.limits.time_to_send(now, *key)?;
+        for (key, _) in candidates.filter(|(_, record)| record.is_usable(now)) {
+            let wait = self.limits.time_to_send(now, key)?;
             if wait.is_zero() {
                 return None;
             }
             if shortest.is_none_or(|(least, _)| wait < least) {
-                shortest = Some((wait, *key));
+                shortest = Some((wait, key));
             }
         }
         shortest
     }
 
-    /// Whether a service has a usable replica.
-    pub fn has_usable_replica(&self, now: TimePoint, service: usize) -> bool {
-        let replicas = self.services[service].replicas.iter();
-        let mut records = replicas.filter_map(|key| self.records.get(key));
-        records.any(|record| record.is_usable(now))
+    /// Whether a service has a usable replica for a request with the given placement.
+    pub fn has_usable_replica(
+        &self,
+        now: TimePoint,
+        service: usize,
+        placement: &RequestPlacement,
+    ) -> bool {
+        let mut candidates = self.candidates(service, placement);
+        candidates.any(|(_, record)| record.is_usable(now))
     }
 
     /// The usable replica of a service with the shortest round trip.
--- a/policy/src/forward/replica_record.rs
+++ b/policy/src/forward/replica_record.rs
@@ -4,6 +4,7 @@
 
 use schema::{
     AttemptId,
+    RegionName,
     ReplicaEntry,
     TimePoint, //
 };
@@ -57,8 +58,12 @@
     pub(super) round_trip_ms: f64,
     /// Cost of using a replica in another data centre, in addition to the round trip.
     pub(super) distance_cost_ms: f64,
+    /// Region of the replica's data centre; `None` if it is unknown.
+    pub(super) region: Option<RegionName>,
     /// Whether the directory lists the replica.
     pub(super) listed: bool,
+    /// Whether the replica's data centre is evacuated.
+    pub(super) evacuated: bool,
     /// Attempts in flight with the times when they were sent, oldest first.
     pub(super) in_flight: SmallVec<[(AttemptId, TimePoint); 4]>,
     /// What the replica has said of itself.
@@ -86,7 +91,9 @@
             service,
             round_trip_ms: 0.0,
             distance_cost_ms: 0.0,
+            region: None,
             listed: true,
+            evacuated: false,
             in_flight: SmallVec::new(),
             statements: KeptStatements::default(),
             avoid_until: TimePoint(0),
@@ -115,9 +122,11 @@
         self.statements.on_trial && !self.in_flight.is_empty()
     }
 
-    /// Whether the replica is listed and does not leave, by its registration or by its own replies.
+    /// Whether the replica is listed, is not evacuated and does not leave, by its registration or by its own
+    /// replies.
     pub(super) fn is_wanted(&self) -> bool {
-        self.listed && !self.entry.draining && self.statements.leaving_since.is_none()
+        let leaves = self.entry.draining || self.statements.leaving_since.is_some();
+        self.listed && !self.evacuated && !leaves
     }
 
     /// Records that an attempt was sent.
--- a/policy/src/forward/replica_registry.rs
+++ b/policy/src/forward/replica_registry.rs
@@ -1,7 +1,10 @@
 //! All known replicas by service, and the choice of a replica for an attempt.
 
 use std::{
-    collections::BTreeMap,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     time::Duration, //
 };
 
@@ -31,6 +34,7 @@
     ReplicaKey,
     RetryBudget, //
 };
+use crate::places::RequestPlacement;
 
 /// Assumed round-trip time within a data centre.
 const ROUND_TRIP_ZONE_MS: f64 = 0.5;
@@ -88,6 +92,8 @@
     pub(super) borrowed_shares: f64,
     /// Number of daemons that share retry budgets and connections; 0 until it is known.
     pub(super) daemons: u32,
+    /// Data centres whose replicas must get no requests.
+    evacuated: BTreeSet<ZoneName>,
     pub(super) random: Pcg64Mcg,
 }
 
@@ -107,6 +113,7 @@
             last_key: 0,
             started_at: None,
             daemons: 0,
+            evacuated: BTreeSet::new(),
             borrowed_shares: 0.0,
         }
     }
@@ -176,6 +183,8 @@
                 && old.born_ms == entry.born_ms;
             if same_instance {
                 let changed = old.draining != entry.draining || !record.listed;
+                record.evacuated = self.evacuated.contains(&entry.zone);
+                record.region = self.settings.regions.get(&entry.zone).cloned();
                 record.update_entry(now, entry);
                 return (None, changed);
             }
@@ -189,6 +198,8 @@
         let statements = self.statements.take(entry.instance());
         let mut record = ReplicaRecord::new(now, entry, service);
         record.statements = statements;
+        record.region = self.settings.regions.get(&record.entry.zone).cloned();
+        record.evacuated = self.evacuated.contains(&record.entry.zone);
         (record.round_trip_ms, record.distance_cost_ms) = self.distance(&record.entry.zone);
         if record.distance_cost_ms > 0.0 {
             record.distance_cost_ms += self.preference(&record.entry.name) * PREFERENCE_SPREAD_MS;
@@ -198,6 +209,35 @@
         (replaced, true)
     }
 
+    /// Starts or ends the evacuation of a data centre. Attempts in flight go on.
+    pub(super) fn set_evacuated(&mut self, zone: &ZoneName, evacuated: bool) {
+        match evacuated {
+            true => self.evacuated.insert(zone.clone()),
+            false => self.evacuated.remove(zone),
+        };
+        let records = self.records.values_mut();
+        for record in records.filter(|record| record.entry.zone == *zone) {
+            record.evacuated = evacuated;
+        }
+    }
+
+    /// The data centres that are evacuated.
+    pub(super) fn evacuated_zones(&self) -> impl Iterator<Item = &ZoneName> {
+        self.evacuated.iter()
+    }
+
+    /// The replicas of `service` to which a request with the given placement may be sent, whether they are
+    /// usable now or not. Every choice of a replica for a request starts here.
+    pub(super) fn candidates<'a>(
+        &'a self,
+        service: usize,
+        placement: &'a RequestPlacement,
+    ) -> impl Iterator<Item = (ReplicaKey, &'a ReplicaRecord)> {
+        let replicas = self.services[service].replicas.iter();
+        let records = replicas.filter_map(|key| Some((*key, self.records.get(key)?)));
+        records.filter(|(_, record)| placement.allows(record.region.as_ref()))
+    }
+
     /// Marks a replica that was removed from the directory as unlisted; returns its key if it was
     /// known.
     pub fn unlist(&mut self, name: &ReplicaName) -> Option<ReplicaKey> {
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -12,6 +12,8 @@
 pub mod forward;
 pub mod limits;
 pub mod peers;
+pub mod places;
+pub mod rates;
 pub mod replicas;
 mod rotation;
 pub mod store;
--- /dev/null
+++ b/policy/src/places/mod.rs
@@ -0,0 +1,5 @@
+//! Where requests may be served: home regions of routes and client accounts.
+
+mod request_placement;
+
+pub use request_placement::RequestPlacement;
--- /dev/null
+++ b/policy/src/rates/rate_action.rs
@@ -0,0 +1,27 @@
+//! What the table of rates asks its daemon to do.
+
+use schema::{
+    FleetRecord,
+    QueryId, //
+};
+
+use super::RateAdmission;
+
+/// An action that the daemon carries out.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RateAction {
+    /// A request that waited is decided.
+    Decided {
+        /// The request.
+        query: QueryId,
+        /// The decision, which is not [`RateAdmission::Pending`].
+        admission: RateAdmission,
+    },
+    /// Writes the record of the fleet to the store.
+    WriteFleet {
+        /// The new record.
+        record: FleetRecord,
+        /// Revision that the item must have; 0 if there must be none.
+        expected_revision: u64,
+    },
+}
--- a/policy/tests/crash_bench/mod.rs
+++ b/policy/tests/crash_bench/mod.rs
@@ -228,6 +228,7 @@
             time_left: Some(ms(3_000)),
             identity,
             shards: Vec::new(),
+            account: None,
             terms: None,
         };
         self.notify(daemon, ForwardEvent::Arrived { query, call });
--- a/policy/tests/directory.rs
+++ b/policy/tests/directory.rs
@@ -141,6 +141,7 @@
 
 fn page(revision: u64, whole: bool, events: Vec<DirectoryEvent>) -> FeedPage {
     FeedPage {
+        evacuated: None,
         era: 0,
         revision,
         whole,
--- a/policy/tests/directory_bytes.rs
+++ b/policy/tests/directory_bytes.rs
@@ -41,6 +41,8 @@
         goal: Duration::from_millis(200),
         attempts: 3,
         priority: 1,
+        public: false,
+        homes: Default::default(),
     }
 }
 
@@ -97,6 +99,7 @@
     };
     let mut feed = DirectoryFeed::new(own, BTreeMap::new());
     let whole = FeedPage {
+        evacuated: None,
         era: 0,
         revision: 1,
         whole: true,
@@ -105,6 +108,7 @@
     };
     feed.store_answered(NOW, whole);
     let change = FeedPage {
+        evacuated: None,
         era: 0,
         revision: 2,
         whole: false,
--- a/policy/tests/forward_connections.rs
+++ b/policy/tests/forward_connections.rs
@@ -14,10 +14,13 @@
 };
 
 use forward_kit::START;
-use policy::forward::{
-    ForwardSettings,
-    PickOutcome,
-    ReplicaRegistry, //
+use policy::{
+    forward::{
+        ForwardSettings,
+        PickOutcome,
+        ReplicaRegistry, //
+    },
+    places::RequestPlacement, //
 };
 use schema::{
     CpuCapacity,
@@ -77,13 +80,15 @@
     let mut counts = BTreeMap::<(usize, u32), usize>::new();
     for daemon in 0..daemons {
         let mut registry = registry(daemon);
+        let anywhere = RequestPlacement::default();
         let mut connected = BTreeSet::new();
         for _ in 0..30 {
             for shard in 0..SHARDS {
-                let PickOutcome::Picked(first) = registry.pick(START, shard, &[]) else {
+                let PickOutcome::Picked(first) = registry.pick(START, shard, &anywhere, &[]) else {
                     panic!("no replica");
                 };
-                let PickOutcome::Picked(second) = registry.pick(START, shard, &[first]) else {
+                let PickOutcome::Picked(second) = registry.pick(START, shard, &anywhere, &[first])
+                else {
                     panic!("no second replica");
                 };
                 connected.extend([(shard, first.0), (shard, second.0)]);
--- a/policy/tests/forward_kit/mod.rs
+++ b/policy/tests/forward_kit/mod.rs
@@ -394,6 +394,7 @@
             time_left: Some(time_left),
             identity: RequestIdentity::default(),
             shards: Vec::new(),
+            account: None,
             terms: None,
         };
         self.calls.insert((daemon, query), call.clone());
@@ -676,6 +677,7 @@
                 let query = QueryId(self.next_query);
                 let call = ForwardCall {
                     time_left: command.time_left,
+                    account: None,
                     terms: Some(command.terms),
                     shards: command.shards.clone(),
                     ..self.calls[&(from, command.query)].clone()
@@ -877,6 +879,8 @@
         goal: ms(200),
         attempts: 2,
         priority: 1,
+        public: false,
+        homes: Default::default(),
     }
 }
 
--- a/policy/tests/forward_parts.rs
+++ b/policy/tests/forward_parts.rs
@@ -39,6 +39,8 @@
         goal: ms(100),
         attempts: 2,
         priority: 0,
+        public: false,
+        homes: Default::default(),
     }
 }
 
--- a/policy/tests/limit_bench/mod.rs
+++ b/policy/tests/limit_bench/mod.rs
@@ -312,6 +312,7 @@
             time_left: Some(ms(3_000)),
             identity: RequestIdentity::default(),
             shards: Vec::new(),
+            account: None,
             terms: None,
         };
         self.notify(daemon, ForwardEvent::Arrived { query, call });
--- a/schema/src/directory_event.rs
+++ b/schema/src/directory_event.rs
@@ -6,9 +6,11 @@
 };
 
 use crate::{
+    FleetEntry,
     ReplicaEntry,
     ReplicaName,
-    RouteTable, //
+    RouteTable,
+    ZoneName, //
 };
 
 /// A change of the configuration or of the replicas, as read from the store or as put into effect.
@@ -20,4 +22,11 @@
     Seen(ReplicaEntry),
     /// The registration of a replica was removed.
     Gone(ReplicaName),
+    /// The replicas of a data centre must get no requests. Older builds can't decode this and the following
+    /// events, which therefore travel beside the others.
+    Evacuated(ZoneName),
+    /// The replicas of a data centre may get requests again.
+    Readmitted(ZoneName),
+    /// The record of the fleet was read.
+    FleetListed(FleetEntry),
 }
--- a/schema/src/lib.rs
+++ b/schema/src/lib.rs
@@ -34,16 +34,21 @@
     include!("generated/upstream.rs");
 }
 
+mod account_spec;
 mod bundle_digest;
+mod cold_limit;
 mod cpu_capacity;
 mod crash_notice;
 mod crash_tally;
 mod deployment_spec;
 mod directory_event;
+mod fleet_record;
 mod group_policy;
 mod group_spec;
+mod key_digest;
 mod key_span;
 mod limit_notice;
+mod member_build;
 mod names;
 mod numbers;
 mod query_print;
@@ -56,10 +61,16 @@
 mod shard_plan;
 mod share_amount;
 mod span_set;
+mod table_extension;
 mod time_point;
 mod yaml;
 
+pub use account_spec::{
+    AccountQuota,
+    AccountSpec, //
+};
 pub use bundle_digest::BundleDigest;
+pub use cold_limit::ColdLimit;
 pub use cpu_capacity::{
     CapacityError,
     CpuCapacity, //
@@ -72,11 +83,16 @@
 };
 pub use deployment_spec::DeploymentSpec;
 pub use directory_event::DirectoryEvent;
+pub use fleet_record::{
+    FleetEntry,
+    FleetRecord, //
+};
 pub use group_policy::GroupPolicy;
 pub use group_spec::{
     GroupMode,
     GroupSpec, //
 };
+pub use key_digest::KeyDigest;
 pub use key_span::{
     KeySpan,
     KEY_SPACE, //
@@ -85,7 +101,9 @@
     LimitEntry,
     LimitNotice, //
 };
+pub use member_build::MemberBuild;
 pub use names::{
+    AccountName,
     CellName,
     DaemonName,
     DeploymentName,
@@ -133,6 +151,7 @@
 pub use shard_plan::ShardPlan;
 pub use share_amount::ShareAmount;
 pub use span_set::SpanSet;
+pub use table_extension::TableExtension;
 pub use time_point::TimePoint;
 pub use yaml::{
     find_line,
--- a/schema/src/names.rs
+++ b/schema/src/names.rs
@@ -1,5 +1,6 @@
 //! Newtypes for names. Each holds validated text: not empty, of limited length, and printable ASCII
-//! without spaces.
+//! without spaces. Names that operators choose for routes, services and client accounts may hold any
+//! printable text.
 
 use std::{
     fmt,
@@ -16,6 +17,9 @@
 
 macro_rules! define_name {
     ($(#[$doc:meta])* $name:ident, $kind:literal, $max:literal) => {
+        define_name!($(#[$doc])* $name, $kind, $max, is_graphic);
+    };
+    ($(#[$doc:meta])* $name:ident, $kind:literal, $max:literal, $is_allowed:ident) => {
         $(#[$doc])*
         #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
         #[serde(try_from = "CompactString", into = "CompactString")]
@@ -52,7 +56,7 @@
             type Err = SchemaError;
 
             fn from_str(text: &str) -> Result<Self, SchemaError> {
-                validate_text($kind, text, $max)?;
+                validate_text($kind, text, $max, $is_allowed)?;
                 Ok(Self(text.into()))
             }
         }
@@ -124,25 +128,43 @@
 
 define_name!(
     /// Name of a service: a set of interchangeable replicas to which routes lead.
-    ServiceName, "service name", 200
+    ServiceName, "service name", 200, is_printable
 );
 define_name!(
     /// Name of a route in the route table.
-    RouteName, "route name", 200
+    RouteName, "route name", 200, is_printable
+);
+define_name!(
+    /// Name of a client account, which owns API keys.
+    AccountName, "account name", 200, is_printable
 );
 define_name!(
     /// Name of a replica in the directory. A replica that is restarted usually gets a new name.
     ReplicaName, "replica name", 200
 );
 
-fn validate_text(kind: &'static str, text: &str, max: usize) -> Result<(), SchemaError> {
+fn is_graphic(character: char) -> bool {
+    character.is_ascii_graphic()
+}
+
+/// Allows accents and spaces, which operators use in names.
+fn is_printable(character: char) -> bool {
+    !character.is_control()
+}
+
+fn validate_text(
+    kind: &'static str,
+    text: &str,
+    max: usize,
+    is_allowed: fn(char) -> bool,
+) -> Result<(), SchemaError> {
     if text.is_empty() {
         return Err(SchemaError::EmptyText { kind });
     }
     if text.len() > max {
         return Err(SchemaError::LongText { kind, max });
     }
-    if !text.bytes().all(|byte| byte.is_ascii_graphic()) {
+    if !text.chars().all(is_allowed) {
         return Err(SchemaError::UnprintableText { kind });
     }
     Ok(())
--- a/schema/src/route_spec.rs
+++ b/schema/src/route_spec.rs
@@ -11,6 +11,7 @@
 };
 
 use crate::{
+    RegionName,
     RouteName,
     ServiceName, //
 };
@@ -54,6 +55,12 @@
     pub attempts: u32,
     /// Priority of the requests; 0 is the highest.
     pub priority: u32,
+    /// Whether requests need no API key.
+    #[serde(skip)]
+    pub public: bool,
+    /// Regions in which requests may be served; empty for all.
+    #[serde(skip)]
+    pub homes: SmallVec<[RegionName; 2]>,
 }
 
 impl RouteSpec {
--- a/schema/src/route_table.rs
+++ b/schema/src/route_table.rs
@@ -9,7 +9,9 @@
 };
 
 use crate::{
+    AccountSpec,
     BundleVersion,
+    ColdLimit,
     RouteSpec,
     ServiceName, //
 };
@@ -52,4 +54,10 @@
     pub limits: CallerLimits,
     /// Services, each with the path at which its replicas answer health checks, if it has one.
     pub health_paths: Vec<(ServiceName, CompactString)>,
+    /// Client accounts; without any, requests need no API key.
+    #[serde(skip)]
+    pub accounts: Vec<AccountSpec>,
+    /// Services whose replicas bear less while they are cold.
+    #[serde(skip)]
+    pub cold_limits: Vec<(ServiceName, ColdLimit)>,
 }
