Check API keys on arrival and name the account to replicas

The caller's Authorization header reached replicas and other daemons, and no Tenant header was set. The daemon that the caller reached now looks up the digest of the key in the route table, answers 401 to missing and unknown keys on routes that are not public, removes Authorization and replaces Tenant. Requests that a member with accounts has relayed keep their account, unless its table had no accounts yet: then the Tenant header is the caller's.

--- a/daemon/src/forward/arrived_request.rs
+++ b/daemon/src/forward/arrived_request.rs
@@ -6,6 +6,7 @@
 use http::request;
 use policy::forward::RelayTerms;
 use schema::{
+    BundleVersion,
     DaemonName,
     QueryId, //
 };
@@ -13,6 +14,17 @@
 
 use super::caller_reply::CallerReply;
 
+/// The daemon that has relayed a request.
+#[derive(Debug)]
+pub(super) struct RelaySource {
+    /// Its name.
+    pub(super) daemon: DaemonName,
+    /// Version of the route table by which it handles the request.
+    pub(super) table: BundleVersion,
+    /// Its terms.
+    pub(super) terms: RelayTerms,
+}
+
 /// A caller's request, fully read and not yet seen by the forwarding loop.
 #[derive(Debug)]
 pub(super) struct ArrivedRequest {
@@ -24,8 +36,8 @@
     pub(super) body: Bytes,
     /// Time between the end of the head and the end of the body.
     pub(super) read_time: Duration,
-    /// The daemon that has relayed the request, with its terms, if one has.
-    pub(super) relayed: Option<(DaemonName, RelayTerms)>,
+    /// The daemon that has relayed the request, if one has.
+    pub(super) relayed: Option<RelaySource>,
     /// Positions of the shards that this daemon wants; empty for all of the route.
     pub(super) shards: Vec<u32>,
     /// Sends the reply back to the handler that holds the connection.
--- a/daemon/src/forward/forward_feed.rs
+++ b/daemon/src/forward/forward_feed.rs
@@ -186,7 +186,7 @@
             DirectoryEvent::Table(table) => {
                 let version = table.version;
                 let limits = table.limits;
-                let index = Arc::new(RouteIndex::new(*table));
+                let index = Arc::new(RouteIndex::replacing(*table, self.route_index.as_deref()));
                 log_event!(
                     self.log.logger, events::TABLE_APPLIED,
                     "version" => version.0, "routes" => index.table.routes.len(),
--- a/daemon/src/forward/forward_requests.rs
+++ b/daemon/src/forward/forward_requests.rs
@@ -18,6 +18,7 @@
 };
 use platform::{
     request_id,
+    set_key_challenge,
     set_merged_headers,
     set_retry_after,
     time_left, //
@@ -58,7 +59,8 @@
         PendingRequest,
         RequestTemplate, //
     },
-    replica_exchange::ExchangeOutcome, //
+    replica_exchange::ExchangeOutcome,
+    request_access::AccessRefusal, //
 };
 use crate::{
     caller_port::CallerAddress,
@@ -82,6 +84,8 @@
     NoRoute,
     /// The request id is missing or invalid.
     NoId,
+    /// The request is not let in.
+    NoAccess(AccessRefusal),
 }
 
 impl ForwardLoop {
@@ -96,16 +100,27 @@
             self.refuse(now, arrived, EarlyRefusal::NoRoute);
             return;
         };
+        let spec = &index.table.routes[route];
+        let access = match self.check_access(&arrived, &index, spec.public) {
+            Ok(access) => access,
+            Err(refusal) => {
+                self.refuse(now, arrived, EarlyRefusal::NoAccess(refusal));
+                return;
+            }
+        };
         let Some(id) = request_id(&arrived.head.headers).cloned() else {
             self.refuse(now, arrived, EarlyRefusal::NoId);
             return;
         };
-        let spec = &index.table.routes[route];
         let caller_timeout = time_left(&arrived.head.headers);
         let identity = request_identity(&arrived);
         let caller = caller_address(&arrived.head);
+        let account = access.account.clone();
+        let template = RequestTemplate::new(arrived.head, arrived.body, id, &access);
+        let relay = arrived.relayed;
         let request = PendingRequest {
-            template: Rc::new(RequestTemplate::new(arrived.head, arrived.body, id)),
+            template: Rc::new(template),
+            access,
             route: spec.name.clone(),
             arrived_at: arrival_time,
             sends: 0,
@@ -113,7 +128,7 @@
             last_replica: None,
             caller,
             is_branch: !arrived.shards.is_empty(),
-            relayed_by: arrived.relayed.as_ref().map(|(daemon, _)| daemon.clone()),
+            relayed_by: relay.as_ref().map(|relay| relay.daemon.clone()),
             helper: None,
             max_attempts: if spec.idempotent { spec.attempts } else { 1 },
             replies: SmallVec::new(),
@@ -127,8 +142,8 @@
             time_left: caller_timeout.map(|timeout| timeout.saturating_sub(arrived.read_time)),
             identity,
             shards: arrived.shards,
-            account: None,
-            terms: arrived.relayed.map(|(_, terms)| terms),
+            account,
+            terms: relay.map(|relay| relay.terms),
         };
         let query = arrived.query;
         self.dispatch(now, ForwardEvent::Arrived { query, call });
@@ -253,11 +268,25 @@
             EarlyRefusal::Starting => ("starting", StatusCode::SERVICE_UNAVAILABLE),
             EarlyRefusal::NoRoute => ("no_route", StatusCode::NOT_FOUND),
             EarlyRefusal::NoId => ("no_id", StatusCode::BAD_REQUEST),
+            EarlyRefusal::NoAccess(AccessRefusal::Key(fault)) => {
+                (fault.as_str(), StatusCode::UNAUTHORIZED)
+            }
+            EarlyRefusal::NoAccess(AccessRefusal::NoAccount) => {
+                ("no_account", StatusCode::SERVICE_UNAVAILABLE)
+            }
         };
         let mut reply = status_reply(status);
-        if refusal == EarlyRefusal::Starting {
-            set_retry_after(&mut reply.headers, STARTING_RETRY_AFTER);
-            reply.verdict = ReplyVerdict::Declined(RelayRefusal::NotReady);
+        reply.verdict = ReplyVerdict::NotRun;
+        match refusal {
+            EarlyRefusal::Starting => {
+                set_retry_after(&mut reply.headers, STARTING_RETRY_AFTER);
+                reply.verdict = ReplyVerdict::Declined(RelayRefusal::NotReady);
+            }
+            EarlyRefusal::NoAccess(AccessRefusal::NoAccount) => {
+                reply.verdict = ReplyVerdict::Declined(RelayRefusal::NewTable);
+            }
+            EarlyRefusal::NoAccess(AccessRefusal::Key(_)) => set_key_challenge(&mut reply.headers),
+            EarlyRefusal::NoRoute | EarlyRefusal::NoId => {}
         }
         let label = [("reason", reason)];
         self.metrics.refusals.get_or_create(&label).inc();
--- a/daemon/src/forward/mod.rs
+++ b/daemon/src/forward/mod.rs
@@ -25,6 +25,7 @@
 mod replica_health;
 mod replica_probe;
 mod reply_budget;
+mod request_access;
 mod request_handler;
 mod run_forward;
 mod source_log;
--- a/daemon/src/forward/pending_request.rs
+++ b/daemon/src/forward/pending_request.rs
@@ -18,7 +18,10 @@
     Request, //
 };
 use http_body_util::Full;
-use platform::set_forward_headers;
+use platform::{
+    set_account,
+    set_forward_headers, //
+};
 use policy::forward::SendCommand;
 use schema::{
     AttemptId,
@@ -32,7 +35,8 @@
 
 use super::{
     caller_reply::CallerReply,
-    replica_exchange::ReplicaReply, //
+    replica_exchange::ReplicaReply,
+    request_access::RequestAccess, //
 };
 
 /// Hop-by-hop headers, which are not forwarded.
@@ -60,13 +64,23 @@
 }
 
 impl RequestTemplate {
-    /// Keeps the parts of `head` that are forwarded.
-    pub(super) fn new(head: request::Parts, body: Bytes, id: HeaderValue) -> Self {
+    /// Keeps the parts of `head` that are forwarded. If `access` was checked, the API key is taken off and the
+    /// account is named.
+    pub(super) fn new(
+        head: request::Parts,
+        body: Bytes,
+        id: HeaderValue,
+        access: &RequestAccess,
+    ) -> Self {
         let mut headers = head.headers;
         remove_hop_by_hop_headers(&mut headers);
         headers.remove(header::EXPECT);
         // The body is complete, and the HTTP library sets its length.
         headers.remove(header::CONTENT_LENGTH);
+        // After the hop-by-hop headers, or a caller could have the account removed by naming it as one.
+        if access.checked {
+            set_account(&mut headers, access.account_name());
+        }
         let path = head.uri.path_and_query().cloned();
         Self {
             method: head.method,
@@ -94,6 +108,8 @@
 pub(super) struct PendingRequest {
     /// What is sent to replicas.
     pub(super) template: Rc<RequestTemplate>,
+    /// How it was let in.
+    pub(super) access: RequestAccess,
     /// Name of the route that matched.
     pub(super) route: RouteName,
     /// When its head was read.
--- a/daemon/src/forward/relay_tasks.rs
+++ b/daemon/src/forward/relay_tasks.rs
@@ -34,7 +34,10 @@
 };
 
 use super::{
-    arrived_request::ArrivedRequest,
+    arrived_request::{
+        ArrivedRequest,
+        RelaySource, //
+    },
     caller_reply::{
         CallerReply,
         ReplyVerdict, //
@@ -231,7 +234,11 @@
             head: request.head,
             body: request.body,
             read_time: Duration::ZERO,
-            relayed: Some((from, request.terms)),
+            relayed: Some(RelaySource {
+                daemon: from,
+                table,
+                terms: request.terms,
+            }),
             shards: request.shards,
             reply_sender: sender,
         };
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! carry out. It reads no clock, is seeded by its caller and iterates in a fixed order, so that a
 //! run with the same events gives the same actions.
 
+pub mod accounts;
 pub mod bundle;
 pub mod charges;
 pub mod claims;
--- a/schema/src/route_table.rs
+++ b/schema/src/route_table.rs
@@ -54,9 +54,12 @@
     pub limits: CallerLimits,
     /// Services, each with the path at which its replicas answer health checks, if it has one.
     pub health_paths: Vec<(ServiceName, CompactString)>,
-    /// Client accounts; without any, requests need no API key.
+    /// Client accounts that could be read.
     #[serde(skip)]
     pub accounts: Vec<AccountSpec>,
+    /// Whether requests need an API key: the configuration names accounts, even if none could be read.
+    #[serde(skip)]
+    pub needs_keys: bool,
     /// Services whose replicas bear less while they are cold.
     #[serde(skip)]
     pub cold_limits: Vec<(ServiceName, ColdLimit)>,
--- a/schema/src/table_extension.rs
+++ b/schema/src/table_extension.rs
@@ -29,6 +29,8 @@
     pub homes: Vec<(u32, SmallVec<[RegionName; 2]>)>,
     /// The client accounts.
     pub accounts: Vec<AccountSpec>,
+    /// Whether requests need an API key.
+    pub needs_keys: bool,
     /// Services whose replicas bear less while they are cold.
     pub cold_limits: Vec<(ServiceName, ColdLimit)>,
 }
@@ -39,6 +41,7 @@
         let mut extension = Self {
             version: table.version,
             accounts: table.accounts.clone(),
+            needs_keys: table.needs_keys,
             cold_limits: table.cold_limits.clone(),
             ..Self::default()
         };
@@ -56,6 +59,7 @@
     /// Sets the fields in the table to which they belong.
     pub fn apply(self, table: &mut RouteTable) {
         table.accounts = self.accounts;
+        table.needs_keys = self.needs_keys;
         table.cold_limits = self.cold_limits;
         for position in self.public {
             if let Some(route) = table.routes.get_mut(position as usize) {
