Hold requests for the quota of their account, and refuse revoked keys

The engine asks the rate table before the first send of a request whose account has a quota: over it the answer is 429, a pending request is kept unsent until on_rate_decided, and an admission of a request that did not run is given back once. A table that no longer has the key of a waiting request ends it with 401 unless a replica may have run it; requests that came before any account was configured lose their key then. Events E7040 to E7043 and counters by account, for at most 64 accounts, say who was refused and why.

--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -180,6 +180,15 @@
     ZONE_EVACUATED = "E7037" Info "data centre evacuated; sending its replicas no new requests";
     /// The operator has ended the evacuation of a data centre.
     ZONE_READMITTED = "E7038" Info "evacuation of the data centre ended; its replicas get requests again";
+    /// A request has no valid API key.
+    KEY_REFUSED = "E7040" Info "request refused for lack of a valid API key; it did not run";
+    /// The quota of a client account is used up.
+    QUOTA_REFUSED = "E7041" Info "request refused because its account's quota is used up; it did not run";
+    /// An API key was removed from the configuration while a request with it waited.
+    KEY_REVOKED = "E7042" Info "request refused because its API key was revoked; it did not run";
+    /// Another daemon has relayed a request whose account this one does not know.
+    ACCOUNT_UNKNOWN = "E7043" Info
+        "declined a relayed request because its account can't be told from this daemon's table";
 }
 
 /// Logs an event of the catalogue with its code and the given fields:
--- a/daemon/src/forward/forward_feed.rs
+++ b/daemon/src/forward/forward_feed.rs
@@ -194,6 +194,7 @@
                 self.metrics
                     .table_version
                     .set(i64::try_from(version.0).unwrap_or(i64::MAX));
+                self.revoke_access(now, &index);
                 self.route_index = Some(Arc::clone(&index));
                 self.view.send_modify(|view| view.limits = limits);
                 self.dispatch(now, ForwardEvent::TableApplied(index));
--- a/daemon/src/forward/forward_gauges.rs
+++ b/daemon/src/forward/forward_gauges.rs
@@ -41,6 +41,8 @@
         self.metrics
             .stranded
             .set(i64::from(status.lost_links.is_some()));
+        let returned = i64::try_from(status.quota_returned).unwrap_or(i64::MAX);
+        self.metrics.quota_returned.set(returned);
         self.metrics.relayed.set(gauge(status.relayed));
         self.metrics.waiting_parts.set(gauge(status.waiting));
         self.metrics.quarantined.set(gauge(status.quarantined));
--- a/daemon/src/forward/forward_loop.rs
+++ b/daemon/src/forward/forward_loop.rs
@@ -54,6 +54,7 @@
 };
 
 use super::{
+    account_counts::AccountCounts,
     crash_store::KeepOrder,
     directory_calls::LongPoll,
     exchange_call::ExchangeCall,
@@ -139,6 +140,8 @@
     pub(super) preconnecting: BTreeSet<ReplicaKey>,
     pub(super) log: ForwardLog,
     pub(super) metrics: ForwardMetrics,
+    /// Client accounts with counters of their own.
+    pub(super) account_counts: AccountCounts,
     pub(super) events: UnboundedSender<InboxEvent>,
     /// Publishes the phase and the limits to the ports.
     pub(super) view: watch::Sender<ServingView>,
--- a/daemon/src/forward/forward_metrics.rs
+++ b/daemon/src/forward/forward_metrics.rs
@@ -28,6 +28,15 @@
     pub(super) result: &'static str,
 }
 
+/// Labels of a counter by client account and outcome.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(super) struct AccountLabels {
+    /// Name of the account, or `other`.
+    pub(super) account: String,
+    /// Outcome of the request.
+    pub(super) result: &'static str,
+}
+
 /// A label whose values are constants of the source.
 pub(super) type StaticLabel = [(&'static str, &'static str); 1];
 /// A label whose values come from the configuration.
@@ -38,7 +47,11 @@
 pub(super) struct ForwardMetrics {
     /// Requests by route and outcome.
     pub(super) requests: Family<RouteLabels, Counter>,
-    /// Requests refused before a route was found, by reason.
+    /// Requests of client accounts by outcome.
+    pub(super) account_requests: Family<AccountLabels, Counter>,
+    /// Admissions by quotas that were given back because the request did not run.
+    pub(super) quota_returned: Gauge,
+    /// Requests refused before a replica was chosen, by reason.
     pub(super) refusals: Family<StaticLabel, Counter>,
     /// Time from arrival to answer by route.
     pub(super) latency: Family<DynamicLabel, Histogram>,
@@ -108,6 +121,8 @@
         let mut registry = Registry::with_prefix("pollentally");
         let metrics = Self {
             requests: Family::default(),
+            account_requests: Family::default(),
+            quota_returned: Gauge::default(),
             refusals: Family::default(),
             latency: Family::new_with_constructor(|| {
                 Histogram::new(exponential_buckets(0.002, 2.0, 13))
@@ -148,6 +163,16 @@
             "Requests by route and outcome",
             all.requests.clone(),
         );
+        registry.register(
+            "forward_account_requests",
+            "Requests of client accounts by outcome; accounts beyond the first 64 are counted as other",
+            all.account_requests.clone(),
+        );
+        registry.register(
+            "forward_quota_returned",
+            "Admissions by quotas that were given back because the request did not run",
+            all.quota_returned.clone(),
+        );
         registry.register(
             "forward_refusals",
             "Requests refused before they had a route to go by",
--- a/daemon/src/forward/forward_requests.rs
+++ b/daemon/src/forward/forward_requests.rs
@@ -34,6 +34,7 @@
 };
 use schema::{
     peer::ShardStamp,
+    AccountName,
     AttemptId,
     DaemonName,
     QueryId,
@@ -209,6 +210,7 @@
             return;
         };
         let mut missing_parts = None;
+        let mut refused = None;
         let (result, reply) = match answer {
             ForwardAnswer::Relayed { attempt } => match request.take_reply(attempt) {
                 Some(reply) if reply.status.is_success() => ("served", reply),
@@ -234,9 +236,17 @@
                 reason,
                 retry_after: delay,
             } => {
-                let mut reply = status_reply(StatusCode::SERVICE_UNAVAILABLE);
-                set_retry_after(&mut reply.headers, delay);
+                let mut reply = status_reply(match reason {
+                    RefusalReason::Quota => StatusCode::TOO_MANY_REQUESTS,
+                    RefusalReason::KeyRevoked => StatusCode::UNAUTHORIZED,
+                    _ => StatusCode::SERVICE_UNAVAILABLE,
+                });
+                match reason {
+                    RefusalReason::KeyRevoked => set_key_challenge(&mut reply.headers),
+                    _ => set_retry_after(&mut reply.headers, delay),
+                }
                 reply.verdict = ReplyVerdict::NotRun;
+                refused = Some((reason, delay));
                 (reason.as_str(), reply)
             }
             ForwardAnswer::Declined { refusal } => {
@@ -253,6 +263,7 @@
             }
         };
         self.record_answer(now, &request, result, missing_parts);
+        self.log_account_refusal(now, &request, refused);
         let leaving = match request.relayed_by {
             Some(_) => self.engine.leaving_instances(),
             None => Vec::new(),
@@ -290,19 +301,27 @@
         }
         let label = [("reason", reason)];
         self.metrics.refusals.get_or_create(&label).inc();
-        if self.log.take_permit(now, true) {
-            let id = request_id(&arrived.head.headers);
-            log_event!(
-                self.log.logger, events::REQUEST_REFUSED,
-                "request" => id.and_then(|id| id.to_str().ok()).unwrap_or(""), "reason" => reason,
-                "host" => request_host(&arrived), "path" => arrived.head.uri.path(),
-                "table" => self.feed.version().map_or(0, |version| version.0),
-            );
+        match refusal {
+            EarlyRefusal::NoAccess(refusal) => self.log_no_access(now, &arrived, refusal),
+            _ => self.log_refusal(now, &arrived, reason),
         }
         // If the caller has just disconnected, `DisconnectGuard` reports it.
         let _ = arrived.reply_sender.send(reply);
     }
 
+    fn log_refusal(&mut self, now: TimePoint, arrived: &ArrivedRequest, reason: &'static str) {
+        if !self.log.take_permit(now, true) {
+            return;
+        }
+        let id = request_id(&arrived.head.headers);
+        log_event!(
+            self.log.logger, events::REQUEST_REFUSED,
+            "request" => id.and_then(|id| id.to_str().ok()).unwrap_or(""), "reason" => reason,
+            "host" => request_host(arrived), "path" => arrived.head.uri.path(),
+            "table" => self.feed.version().map_or(0, |version| version.0),
+        );
+    }
+
     fn record_answer(
         &mut self,
         now: TimePoint,
@@ -317,12 +336,16 @@
         latency.observe(age.as_secs_f64());
         let labels = RouteLabels { route, result };
         self.metrics.requests.get_or_create(&labels).inc();
+        if let Some(account) = request.access.account_name() {
+            self.account_counts.count(&self.metrics, account, result);
+        }
         if !self.log.take_permit(now, result != "served") {
             return;
         }
         log_event!(
             self.log.logger, events::REQUEST_ENDED,
             "request" => request.template.id.to_str().unwrap_or("?"), "route" => %request.route,
+            "account" => request.access.account_name().map(AccountName::as_str),
             "result" => result,
             "helper" => request.helper.as_ref().map(DaemonName::as_str),
             "relayed_by" => request.relayed_by.as_ref().map(DaemonName::as_str),
@@ -363,12 +386,12 @@
     )
 }
 
-fn caller_address(head: &request::Parts) -> IpAddr {
+pub(super) fn caller_address(head: &request::Parts) -> IpAddr {
     let caller = head.extensions.get::<CallerAddress>();
     caller.map_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED), |caller| caller.0)
 }
 
-fn request_host(arrived: &ArrivedRequest) -> &str {
+pub(super) fn request_host(arrived: &ArrivedRequest) -> &str {
     let host = arrived
         .head
         .headers
--- a/daemon/src/forward/mod.rs
+++ b/daemon/src/forward/mod.rs
@@ -1,6 +1,8 @@
 //! Forwarding daemon on the users' platform: sockets and timers around the decisions of
 //! `policy::forward` and `policy::directory`.
 
+mod account_counts;
+mod account_log;
 mod arrived_request;
 mod caller_reply;
 mod crash_store;
--- a/daemon/src/forward/pending_request.rs
+++ b/daemon/src/forward/pending_request.rs
@@ -53,7 +53,7 @@
 ];
 
 /// The parts of a caller's request that are sent to replicas.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct RequestTemplate {
     pub(super) method: Method,
     pub(super) target: http::Uri,
--- a/daemon/src/forward/relay_tasks.rs
+++ b/daemon/src/forward/relay_tasks.rs
@@ -269,7 +269,7 @@
     }
 
     /// Version of the route table in force; 0 before the first.
-    fn table_version(&self) -> BundleVersion {
+    pub(super) fn table_version(&self) -> BundleVersion {
         let index = self.route_index.as_ref();
         index.map_or(BundleVersion(0), |index| index.table.version)
     }
--- a/daemon/src/forward/request_access.rs
+++ b/daemon/src/forward/request_access.rs
@@ -1,6 +1,9 @@
 //! Whether a request that arrives has a client account, and what becomes of it without one.
 
-use std::sync::Arc;
+use std::{
+    rc::Rc,
+    sync::Arc, //
+};
 
 use platform::{
     account_name,
@@ -13,15 +16,18 @@
         KeyDecision,
         KeyFault, //
     },
-    forward::RouteIndex,
+    forward::{
+        ForwardEvent,
+        RouteIndex, //
+    },
 };
 use schema::{
     AccountName,
     AccountSpec,
-    BundleVersion,
     DaemonName,
     KeyDigest,
-    MemberBuild, //
+    MemberBuild,
+    TimePoint, //
 };
 
 use super::{
@@ -116,6 +122,39 @@
         })
     }
 
+    /// Checks the waiting requests against the accounts of a new table, before it is used: those that no replica
+    /// may have run are answered with 401 if they would not be let in by it. Requests that came before any account was
+    /// configured lose their key now, also where they go on.
+    pub(super) fn revoke_access(&mut self, now: TimePoint, index: &RouteIndex) {
+        let accounts = &index.accounts;
+        if !accounts.needs_keys() {
+            return;
+        }
+        let mut queries = Vec::new();
+        for (query, request) in &mut self.requests {
+            if !request.access.checked {
+                let headers = &request.template.headers;
+                let mut routes = index.table.routes.iter();
+                let is_public = routes.any(|route| route.public && route.name == request.route);
+                let access = RequestAccess::by_key(accounts, headers, is_public);
+                if access.is_err() {
+                    queries.push(*query);
+                }
+                request.access = access.unwrap_or_default();
+                request.access.checked = true;
+                let template = Rc::make_mut(&mut request.template);
+                set_account(&mut template.headers, request.access.account_name());
+            } else if !request.access.is_valid_in(accounts) {
+                queries.push(*query);
+            }
+        }
+        if queries.is_empty() {
+            return;
+        }
+        queries.sort_unstable();
+        self.dispatch(now, ForwardEvent::KeysRevoked { queries });
+    }
+
     /// Whether a member is of a build that checks API keys.
     fn checks_keys(&self, daemon: &DaemonName) -> bool {
         let mut members = self.peers.members();
--- a/daemon/src/forward/run_forward.rs
+++ b/daemon/src/forward/run_forward.rs
@@ -302,6 +302,7 @@
         preconnecting: Default::default(),
         log: ForwardLog::new(log, metrics.clone(), now),
         metrics,
+        account_counts: Default::default(),
         events,
         view: view_sender,
         lifecycle: DaemonLife::machine(),
--- a/policy/src/forward/forward_answer.rs
+++ b/policy/src/forward/forward_answer.rs
@@ -33,6 +33,10 @@
     Quarantined,
     /// This daemon has lost its links to the replicas, and no other one takes the request.
     Stranded,
+    /// The quota of the client account is used up.
+    Quota,
+    /// The API key was revoked before the request was sent.
+    KeyRevoked,
 }
 
 impl RefusalReason {
@@ -48,6 +52,8 @@
             Self::Deadline => "deadline",
             Self::Quarantined => "quarantined",
             Self::Stranded => "stranded",
+            Self::Quota => "quota",
+            Self::KeyRevoked => "key_revoked",
         }
     }
 }
--- a/policy/src/forward/forward_engine.rs
+++ b/policy/src/forward/forward_engine.rs
@@ -26,6 +26,7 @@
 use smallvec::SmallVec;
 
 use super::{
+    account_admission::AccountAdmissions,
     crash_probes::CrashProbes,
     delegate::{
         wanted_services,
@@ -51,7 +52,10 @@
     RequestIdentity,
     RouteIndex, //
 };
-use crate::places::RequestPlacement;
+use crate::{
+    places::RequestPlacement,
+    rates::RateTable, //
+};
 
 /// Margin before the latency goal for delays that the daemon can't measure: that of the caller's
 /// link (3 ms each way in the deployments, and as much again for a new connection) and the daemon's
@@ -109,6 +113,10 @@
     pub(super) intake: RelayIntake,
     /// Services with queued parts in which an attempt has just ended.
     pub(super) freed_services: Vec<usize>,
+    /// Rates that all daemons together keep.
+    pub(super) rates: RateTable,
+    /// Requests that wait for the rate of their client account.
+    pub(super) admissions: AccountAdmissions,
 }
 
 impl ForwardEngine {
@@ -132,6 +140,8 @@
             probes: CrashProbes::default(),
             crashes: CrashTable::default(),
             freed_services: Vec::new(),
+            rates: RateTable::default(),
+            admissions: AccountAdmissions::default(),
         }
     }
 
@@ -174,6 +184,9 @@
                 let event = LoggedEvent::ZoneEvacuated { zone, evacuated };
                 actions.push(ForwardAction::Log(event));
             }
+            ForwardEvent::KeysRevoked { queries } => {
+                self.on_keys_revoked(now, &queries, actions);
+            }
             ForwardEvent::TableApplied(index) => self.apply_table(&index),
             ForwardEvent::DaemonsCounted { daemons, others } => {
                 self.registry.set_daemons(now, daemons, others);
@@ -321,6 +334,20 @@
         call: ForwardCall,
         actions: &mut Vec<ForwardAction>,
     ) {
+        if let Some(request) = self.accept_request(now, query, call, actions) {
+            let admission = self.ask_rate(now, &request);
+            self.follow_admission(now, request, admission, actions);
+        }
+    }
+
+    /// Creates the state of a request that arrives, or answers it at once.
+    pub(super) fn accept_request(
+        &mut self,
+        now: TimePoint,
+        query: QueryId,
+        call: ForwardCall,
+        actions: &mut Vec<ForwardAction>,
+    ) -> Option<PendingRequest> {
         let index = Arc::clone(&call.index);
         let spec = &index.table.routes[call.route];
         let mut request = PendingRequest::new(query, call.index, call.route, call.identity, now);
@@ -350,41 +377,65 @@
             let refusal = RelayRefusal::OldTable;
             let answer = ForwardAnswer::Declined { refusal };
             actions.push(ForwardAction::Answer { query, answer });
-            return;
+            return None;
         };
         request.create_parts(&services);
         if self.refuse_crashing(now, &mut request, actions) {
-            return;
+            return None;
         }
         if let Some(refusal) = self.refuse_relayed(now, &request) {
             let answer = ForwardAnswer::Declined { refusal };
             actions.push(ForwardAction::Answer { query, answer });
-            return;
+            return None;
         }
+        if self.refuse_unsendable(now, &request, actions) {
+            return None;
+        }
+        Some(request)
+    }
+
+    /// Answers a request at once for which nothing has been sent, if the replicas can't serve it in time;
+    /// returns whether it did. One that goes to another daemon is refused there.
+    pub(super) fn refuse_unsendable(
+        &mut self,
+        now: TimePoint,
+        request: &PendingRequest,
+        actions: &mut Vec<ForwardAction>,
+    ) -> bool {
         if self.reach.lost().is_some() && request.may_be_relayed() {
-            self.relay_request(now, &mut request, actions);
-            self.requests.insert(query, request);
-            self.complete_or_schedule(now, query, actions);
-            return;
+            return false;
         }
-        if let Some(answer) = self.refuse_unserved(now, &request) {
+        let query = request.query;
+        if let Some(answer) = self.refuse_unserved(now, request) {
             actions.push(ForwardAction::Answer { query, answer });
-            return;
+            return true;
         }
-        if let Some(retry_after) = self.overload_retry_after(now, &request) {
+        if let Some(retry_after) = self.overload_retry_after(now, request) {
             let answer = ForwardAnswer::NotRun {
                 reason: RefusalReason::Overload,
                 retry_after,
             };
             actions.push(ForwardAction::Answer { query, answer });
-            return;
-        }
-        if self.refuse_limited(now, &request, actions) {
-            return;
+            return true;
         }
-        self.intake.in_flight += u32::from(request.terms.is_some());
-        if !self.claim_if_needed(now, &mut request, actions) {
-            self.send_first(now, &mut request, actions);
+        self.refuse_limited(now, request, actions)
+    }
+
+    /// Sends a request for the first time, to replicas or to another daemon.
+    pub(super) fn start_request(
+        &mut self,
+        now: TimePoint,
+        mut request: PendingRequest,
+        actions: &mut Vec<ForwardAction>,
+    ) {
+        let query = request.query;
+        if self.reach.lost().is_some() && request.may_be_relayed() {
+            self.relay_request(now, &mut request, actions);
+        } else {
+            self.intake.in_flight += u32::from(request.terms.is_some());
+            if !self.claim_if_needed(now, &mut request, actions) {
+                self.send_first(now, &mut request, actions);
+            }
         }
         self.requests.insert(query, request);
         self.complete_or_schedule(now, query, actions);
--- a/policy/src/forward/forward_event.rs
+++ b/policy/src/forward/forward_event.rs
@@ -97,6 +97,11 @@
     },
     /// A new route table came into force.
     TableApplied(Arc<RouteIndex>),
+    /// The API keys of these requests have been revoked.
+    KeysRevoked {
+        /// The requests.
+        queries: Vec<QueryId>,
+    },
     /// The number of daemons that share retry budgets and connections changed.
     DaemonsCounted {
         /// Number of daemons that may be running, including this one.
--- a/policy/src/forward/forward_status.rs
+++ b/policy/src/forward/forward_status.rs
@@ -41,6 +41,8 @@
     pub helpers: Vec<DaemonName>,
     /// Requests of other daemons that this one forwards.
     pub relayed: usize,
+    /// Admissions by quotas that were given back because the request did not run, since the start.
+    pub quota_returned: u64,
     /// Data centres that are evacuated.
     pub evacuated: Vec<ZoneName>,
 }
@@ -96,6 +98,7 @@
                 .map(|(loss, since)| (loss, now.since(since))),
             helpers: self.helpers.names(now),
             relayed: self.intake.in_flight as usize,
+            quota_returned: self.admissions.given_back,
             evacuated: self.registry.evacuated_zones().cloned().collect(),
         }
     }
--- a/policy/src/forward/mod.rs
+++ b/policy/src/forward/mod.rs
@@ -10,6 +10,9 @@
 //! caller gets an *answer*. *Extra* attempts are hedges (sent while another attempt is late) and
 //! retries (sent after one failed).
 
+mod account_admission;
+#[cfg(test)]
+mod account_admission_tests;
 mod arrival_refusal;
 mod attempt_dispatch;
 mod attempt_results;
--- a/policy/src/forward/pending_request.rs
+++ b/policy/src/forward/pending_request.rs
@@ -30,7 +30,10 @@
     RequestIdentity,
     RouteIndex, //
 };
-use crate::places::RequestPlacement;
+use crate::{
+    places::RequestPlacement,
+    rates::RateKey, //
+};
 
 /// Share of the time until its goal that a request may spend in a queue; the rest is left for its
 /// execution.
@@ -39,6 +42,8 @@
 /// Whether another daemon forwards a request for this one.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(super) enum RelayState {
+    /// It waits for the rate of its client account, and is not sent anywhere.
+    Unadmitted,
     /// This daemon sends it to replicas itself.
     Direct,
     /// It waits for a daemon that offers to take it.
@@ -109,6 +114,10 @@
     pub(super) placement: RequestPlacement,
     /// The caller's client account; `None` if it has none.
     pub(super) account: Option<Arc<AccountSpec>>,
+    /// The rate that has admitted it, until the admission is given back.
+    pub(super) charged: Option<RateKey>,
+    /// Whether the daemon to which it was relayed has answered that it did not run.
+    pub(super) relay_not_run: bool,
 }
 
 /// The trial of a request that is refused because it has crashed replicas.
@@ -157,6 +166,8 @@
             terms: None,
             placement: RequestPlacement::default(),
             account: None,
+            charged: None,
+            relay_not_run: false,
             hedge_delay: Duration::ZERO,
             branches: SmallVec::new(),
             trial: None,
@@ -276,6 +287,7 @@
     pub(super) fn next_check(&self) -> TimePoint {
         match self.relay {
             RelayState::Direct => {}
+            RelayState::Unadmitted => return self.answer_by,
             RelayState::Waiting { check_at, .. } => return self.answer_by.min(check_at),
             RelayState::Sent { .. } | RelayState::Ended(_) => return self.answer_by,
         }
--- a/policy/src/forward/relay_dispatch.rs
+++ b/policy/src/forward/relay_dispatch.rs
@@ -126,6 +126,7 @@
                 request.relay = RelayState::Ended(stranded_answer(&request));
             }
             RelayOutcome::Answered | RelayOutcome::NotRun => {
+                request.relay_not_run = outcome == RelayOutcome::NotRun;
                 request.relay = RelayState::Ended(ForwardAnswer::Relayed { attempt });
             }
             RelayOutcome::Declined(_) => {
--- a/policy/src/forward/request_completion.rs
+++ b/policy/src/forward/request_completion.rs
@@ -53,7 +53,7 @@
                         self.process_due_parts(now, &mut request, actions);
                     }
                     RelayState::Waiting { .. } => self.send_relay(now, &mut request, actions),
-                    RelayState::Sent { .. } | RelayState::Ended(_) => {}
+                    RelayState::Unadmitted | RelayState::Sent { .. } | RelayState::Ended(_) => {}
                 }
             }
             self.requests.insert(query, request);
@@ -93,7 +93,7 @@
         }
     }
 
-    fn complete(
+    pub(super) fn complete(
         &mut self,
         now: TimePoint,
         query: QueryId,
@@ -104,6 +104,15 @@
             return;
         };
         self.request_timers.remove(&(request.timer_at, query));
+        let not_run = match answer {
+            ForwardAnswer::NotRun { .. } | ForwardAnswer::Declined { .. } => true,
+            ForwardAnswer::Relayed { .. } => request.relay_not_run,
+            ForwardAnswer::Merged { .. } | ForwardAnswer::Failed { .. } => false,
+        };
+        if not_run {
+            let rates = &mut self.rates;
+            self.admissions.give_back(now, &mut request, rates);
+        }
         self.cancel_relay(now, &request, actions);
         self.cancel_branches(&request, actions);
         self.intake.in_flight -= u32::from(request.terms.is_some());
@@ -150,6 +159,10 @@
             return;
         };
         self.request_timers.remove(&(request.timer_at, query));
+        if !request.may_have_run() {
+            let rates = &mut self.rates;
+            self.admissions.give_back(now, &mut request, rates);
+        }
         self.cancel_relay(now, &request, actions);
         self.cancel_branches(&request, actions);
         self.intake.in_flight -= u32::from(request.terms.is_some());
@@ -167,7 +180,7 @@
     match &request.relay {
         RelayState::Direct => {}
         RelayState::Ended(answer) => return Some(answer.clone()),
-        RelayState::Waiting { .. } | RelayState::Sent { .. } => {
+        RelayState::Unadmitted | RelayState::Waiting { .. } | RelayState::Sent { .. } => {
             return (now >= request.answer_by).then(|| failure_answer(now, request));
         }
     }
--- a/policy/src/forward/trial_dispatch.rs
+++ b/policy/src/forward/trial_dispatch.rs
@@ -119,6 +119,8 @@
         if !granted {
             self.request_timers.remove(&(request.timer_at, query));
             self.intake.in_flight -= u32::from(request.terms.is_some());
+            let rates = &mut self.rates;
+            self.admissions.give_back(now, &mut request, rates);
             let answer = ForwardAnswer::NotRun {
                 reason: RefusalReason::Quarantined,
                 retry_after: until.since(now),
