--- a/policy/src/forward/account_admission_tests.rs
+++ b/policy/src/forward/account_admission_tests.rs
@@ -37,6 +37,9 @@
 const TIMEOUT: Duration = Duration::from_secs(1);
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// What ends a request, and the refusals that it is answered with.
+type EndOfRequest<'a> = (&'a dyn Fn(&mut AdmissionKit), &'a [RefusalReason]);
+
 struct AdmissionKit {
     now: TimePoint,
     engine: ForwardEngine,
@@ -206,7 +209,7 @@
         let replica = "i".parse().unwrap();
         kit.notify(ForwardEvent::ReplicaUnlisted(replica));
     };
-    let ends: [(&dyn Fn(&mut AdmissionKit), &[RefusalReason]); 4] = [
+    let ends: [EndOfRequest<'_>; 4] = [
         (&gone, &[]),
         (&expired, &[RefusalReason::Overload]),
         (&revoked, &[RefusalReason::KeyRevoked]),
