Count relayed requests of accounts once, and limit lines about keys apart

Lines about requests without a valid key had the same limit as failures, so that a flood of wrong keys would have hidden them. The counters by account counted a relayed request at both daemons.

--- a/daemon/src/forward/account_log.rs
+++ b/daemon/src/forward/account_log.rs
@@ -37,7 +37,7 @@
         arrived: &ArrivedRequest,
         refusal: AccessRefusal,
     ) {
-        if !self.log.take_permit(now, true) {
+        if !self.log.take_key_permit(now) {
             return;
         }
         let logger = &self.log.logger;
--- a/daemon/src/forward/forward_log.rs
+++ b/daemon/src/forward/forward_log.rs
@@ -24,6 +24,8 @@
 const ROUTINE_LINES_PER_SECOND: f64 = 20.0;
 /// Rate limit for lines on failures, extra attempts and changes in the known replicas.
 const NOTABLE_LINES_PER_SECOND: f64 = 100.0;
+/// Rate limit for lines on requests without a valid key, which must not crowd out the others.
+const KEY_LINES_PER_SECOND: f64 = 20.0;
 /// Capacity of a token bucket, in seconds at its rate.
 const BURST_SECONDS: f64 = 2.0;
 
@@ -64,6 +66,7 @@
     metrics: ForwardMetrics,
     routine: LineBucket,
     notable: LineBucket,
+    keys: LineBucket,
 }
 
 impl ForwardLog {
@@ -74,6 +77,7 @@
             metrics,
             routine: LineBucket::new(ROUTINE_LINES_PER_SECOND, now),
             notable: LineBucket::new(NOTABLE_LINES_PER_SECOND, now),
+            keys: LineBucket::new(KEY_LINES_PER_SECOND, now),
         }
     }
 
@@ -85,10 +89,21 @@
             false => &mut self.routine,
         };
         let granted = bucket.try_take(now);
+        self.count_dropped(granted);
+        granted
+    }
+
+    /// The same from the bucket for requests without a valid key.
+    pub(super) fn take_key_permit(&mut self, now: TimePoint) -> bool {
+        let granted = self.keys.try_take(now);
+        self.count_dropped(granted);
+        granted
+    }
+
+    fn count_dropped(&self, granted: bool) {
         if !granted {
             self.metrics.lines_dropped.inc();
         }
-        granted
     }
 
     /// Writes an event of the engine, within the rate limit. `id` is the caller's id of the
--- a/daemon/src/forward/forward_requests.rs
+++ b/daemon/src/forward/forward_requests.rs
@@ -336,7 +336,9 @@
         latency.observe(age.as_secs_f64());
         let labels = RouteLabels { route, result };
         self.metrics.requests.get_or_create(&labels).inc();
-        if let Some(account) = request.access.account_name() {
+        let account = request.access.account_name();
+        // A relayed request is counted by the daemon that the caller reached.
+        if let (Some(account), None) = (account, &request.relayed_by) {
             self.account_counts.count(&self.metrics, account, result);
         }
         if !self.log.take_permit(now, result != "served") {
--- a/policy/tests/forward_kit/mod.rs
+++ b/policy/tests/forward_kit/mod.rs
@@ -39,6 +39,7 @@
 };
 use rand_pcg::Pcg64Mcg;
 use schema::{
+    AccountSpec,
     AttemptId,
     BundleVersion,
     CpuCapacity,
@@ -231,6 +232,8 @@
     branch_answers: BTreeMap<(usize, AttemptId), BranchAnswer>,
     /// How all relays end at once, if they do.
     pub(crate) relays_end: Option<&'static str>,
+    /// The client account of requests that are sent from now on.
+    pub(crate) account: Option<Arc<AccountSpec>>,
     /// Questions for offers, with their time, by the daemon that asks.
     pub(crate) asks: Vec<(TimePoint, usize)>,
     /// Relays that were sent: time, from, to, terms.
@@ -302,6 +305,7 @@
             mute: BTreeSet::new(),
             branch_answers: BTreeMap::new(),
             relays_end: None,
+            account: None,
             asks: Vec::new(),
             sent_relays: Vec::new(),
             relayed_shards: Vec::new(),
@@ -394,7 +398,7 @@
             time_left: Some(time_left),
             identity: RequestIdentity::default(),
             shards: Vec::new(),
-            account: None,
+            account: self.account.clone(),
             terms: None,
         };
         self.calls.insert((daemon, query), call.clone());
