--- a/policy/src/peers/note_rules.rs
+++ b/policy/src/peers/note_rules.rs
@@ -24,7 +24,10 @@
     PeerCore,
     PeerMember, //
 };
-use crate::rotation::entries_after;
+use crate::{
+    rates::RateMessage,
+    rotation::entries_after, //
+};
 
 /// Largest time to expiry that is accepted for a drain mark or a quarantine.
 const EXPIRY_MAX: Duration = Duration::from_secs(7 * 24 * 60 * 60);
@@ -53,27 +56,32 @@
                     let notice = CrashNotice::from_note(&note);
                     actions.push(PeerAction::CrashReceived { notice });
                 }
-                // A notice of limits is for its receiver only and comes in datagrams, see
-                // `take_limit_notices`.
-                Some(Note::Limit(_)) | None => {}
+                // Notices of limits and rates are for their receiver only and come in datagrams, see
+                // `take_notices`.
+                Some(Note::Limit(_) | Note::Rate(_)) | None => {}
             }
         }
     }
 
-    /// Passes the limits in a datagram of the daemon `from` on.
-    pub(super) fn take_limit_notices(
+    /// Passes the limits and rates in a datagram of the daemon `from` on.
+    pub(super) fn take_notices(
         from: &DaemonName,
         notes: &[NoteEntry],
         actions: &mut Vec<PeerAction>,
     ) {
         for entry in notes {
-            let Some(Note::Limit(note)) = &entry.note else {
-                continue;
-            };
-            actions.push(PeerAction::LimitsReceived {
-                from: from.clone(),
-                notice: LimitNotice::from_note(note),
-            });
+            let from = from.clone();
+            match &entry.note {
+                Some(Note::Limit(note)) => {
+                    let notice = LimitNotice::from_note(note);
+                    actions.push(PeerAction::LimitsReceived { from, notice });
+                }
+                Some(Note::Rate(note)) => {
+                    let message = RateMessage::from_note(note);
+                    actions.push(PeerAction::RatesReceived { from, message });
+                }
+                _ => {}
+            }
         }
     }
 
--- a/policy/src/peers/peer_core.rs
+++ b/policy/src/peers/peer_core.rs
@@ -20,6 +20,7 @@
     },
     BundleVersion,
     DaemonName,
+    MemberBuild,
     QueryPrint,
     TimePoint,
     VmName, //
@@ -235,6 +236,17 @@
                     self.send_notes(address, None, vec![NoteEntry { note }], actions);
                 }
             }
+            PeerEvent::RatesShared { to, message } => {
+                let member = self.table.get(&to);
+                let shares = |member: &&PeerMember| {
+                    MemberBuild::of_cell(&member.cell) >= MemberBuild::SharesRates
+                };
+                // Older builds can't decode datagrams with this kind of note.
+                if let Some(address) = member.filter(shares).map(|member| member.address) {
+                    let note = Some(Note::Rate(message.to_note()));
+                    self.send_notes(address, None, vec![NoteEntry { note }], actions);
+                }
+            }
             PeerEvent::SyncRequested { reply_to, body } => {
                 self.merge_notes(now, body.notes, actions);
                 let body = self.sync_body();
@@ -270,7 +282,7 @@
         let version = BundleVersion(datagram.bundle_version);
         self.merge_sender(now, sender, actions);
         self.table.record_contact(&daemon, now, version);
-        Self::take_limit_notices(&daemon, &datagram.notes, actions);
+        Self::take_notices(&daemon, &datagram.notes, actions);
         self.merge_notes(now, datagram.notes, actions);
         self.compare_bundle(now, address, version, actions);
         self.compare_digest(now, address, datagram.view, actions);
--- a/policy/src/peers/peer_event.rs
+++ b/policy/src/peers/peer_event.rs
@@ -14,6 +14,8 @@
     VmName, //
 };
 
+use crate::rates::RateMessage;
+
 /// Input for `PeerCore::on_event`.
 #[derive(Clone, Debug)]
 pub enum PeerEvent {
@@ -63,6 +65,14 @@
         /// The limits and what this daemon needs or grants.
         notice: LimitNotice,
     },
+    /// This daemon asks another one about shared rates, or answers it, if that is a member of a build that
+    /// shares rates.
+    RatesShared {
+        /// The other daemon.
+        to: DaemonName,
+        /// The question or answer.
+        message: RateMessage,
+    },
     /// A peer requested a sync by stream and sent its own state. The action `ReplySync` answers it.
     SyncRequested {
         /// Identifies the request; chosen by the caller of `on_event`.
@@ -142,6 +152,13 @@
         /// The limits and what the peer needs or grants.
         notice: LimitNotice,
     },
+    /// A peer asked about shared rates, or answered.
+    RatesReceived {
+        /// The peer.
+        from: DaemonName,
+        /// The question or answer.
+        message: RateMessage,
+    },
     /// A peer reported that upstreams crashed while they ran a query.
     QuarantineReceived {
         /// Fingerprint of the query.
