Connect the shared rates with the forwarding engine, the peers and the store

Datagrams with rates go to members whose entry says SharesRates only. The record of the fleet is written by a change that names the revision read; what was written comes back with the directory. The loop compares the clock since the boot with the monotonic clock in each turn and drops tokens and pledges after a suspension. Without accounts with quotas there are no messages, timers or writes.

Events E7050 to E7054, and gauges of the share, the pledges, the decisions and the messages.

Run: rates_search, peers_builds, peers_network, peers_hostile, forward_basics, forward_limits, schema generated and wire, daemon events.

--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -180,6 +180,16 @@
     ZONE_EVACUATED = "E7037" Info "data centre evacuated; sending its replicas no new requests";
     /// The operator has ended the evacuation of a data centre.
     ZONE_READMITTED = "E7038" Info "evacuation of the data centre ended; its replicas get requests again";
+    /// Another daemon issues the tokens of shared rates to this one.
+    AUTHORITY_CHOSEN = "E7050" Info "authority for shared rates chosen";
+    /// The record of the fleet has changed.
+    FLEET_CHANGED = "E7051" Info "record of the fleet changed; each listed daemon has an equal share of all rates";
+    /// This daemon changes the record of the fleet.
+    FLEET_WRITTEN = "E7052" Info "writing the record of the fleet to the store";
+    /// The store has not taken the record.
+    FLEET_NOT_WRITTEN = "E7053" Warning "record of the fleet not written; trying again in some seconds";
+    /// The machine was suspended.
+    MACHINE_SUSPENDED = "E7054" Warning "machine was suspended; dropping tokens and pledges of shared rates";
 }
 
 /// Logs an event of the catalogue with its code and the given fields:
--- a/daemon/src/forward/forward_feed.rs
+++ b/daemon/src/forward/forward_feed.rs
@@ -181,8 +181,9 @@
                 let evacuated = false;
                 self.dispatch(now, ForwardEvent::ZoneEvacuated { zone, evacuated });
             }
-            // No rate is shared over the fleet yet.
-            DirectoryEvent::FleetListed(_) => {}
+            DirectoryEvent::FleetListed(entry) => {
+                self.dispatch(now, ForwardEvent::FleetListed(entry));
+            }
             DirectoryEvent::Table(table) => {
                 let version = table.version;
                 let limits = table.limits;
--- a/daemon/src/forward/forward_gauges.rs
+++ b/daemon/src/forward/forward_gauges.rs
@@ -38,6 +38,26 @@
             limits.get_or_create(&label).set(limit.per_second());
             self.metrics.limit_shares.get_or_create(&label).set(share);
         }
+        let rates = self.engine.rates();
+        if rates.limit_count() > 0 {
+            let is_authority = *rates.authority() == self.vm;
+            self.metrics.rate_share.set(rates.share());
+            self.metrics.rate_pledges.set(gauge(rates.pledged_count()));
+            self.metrics.rate_authority.set(i64::from(is_authority));
+            let counts = rates.counts();
+            let counts = [
+                ("admitted", counts.admitted),
+                ("refused", counts.refused),
+                ("waited", counts.waited),
+                ("asks", counts.asks),
+                ("answers", counts.answers),
+                ("tokens_issued", counts.granted),
+            ];
+            for (kind, count) in counts {
+                let counter = self.metrics.rate_counts.get_or_create(&[("kind", kind)]);
+                counter.inc_by(count.saturating_sub(counter.get()));
+            }
+        }
         self.metrics
             .stranded
             .set(i64::from(status.lost_links.is_some()));
--- a/daemon/src/forward/forward_log.rs
+++ b/daemon/src/forward/forward_log.rs
@@ -2,9 +2,12 @@
 
 use std::time::Duration;
 
-use policy::forward::{
-    LoggedEvent,
-    RelayOutcome, //
+use policy::{
+    forward::{
+        LoggedEvent,
+        RelayOutcome, //
+    },
+    rates::RateEvent,
 };
 use schema::{
     DaemonName,
@@ -341,6 +344,7 @@
             LoggedEvent::ZoneEvacuated { zone, .. } => {
                 log_event!(logger, events::ZONE_READMITTED, "zone" => %zone);
             }
+            LoggedEvent::RatesChanged(event) => write_rate_event(logger, event),
             LoggedEvent::ReplicaRecovered { replica, service } => log_event!(
                 logger, events::REPLICA_RECOVERED, "replica" => %replica, "service" => %service,
             ),
@@ -356,6 +360,40 @@
     }
 }
 
+fn write_rate_event(logger: &Logger, event: &RateEvent) {
+    match event {
+        RateEvent::AuthorityChosen {
+            authority,
+            before,
+            cause,
+        } => log_event!(
+            logger, events::AUTHORITY_CHOSEN,
+            "authority" => %authority, "before" => before.as_ref().map(DaemonName::as_str),
+            "cause" => *cause,
+        ),
+        RateEvent::FleetChanged {
+            version,
+            daemons,
+            listed,
+        } => log_event!(
+            logger, events::FLEET_CHANGED,
+            "version" => *version, "daemons" => *daemons, "listed" => *listed,
+        ),
+        RateEvent::FleetWritten {
+            version,
+            daemons,
+            added,
+            removed,
+        } => log_event!(
+            logger, events::FLEET_WRITTEN,
+            "version" => *version, "daemons" => *daemons, "added" => *added, "removed" => *removed,
+        ),
+        RateEvent::Suspended { period_ms } => {
+            log_event!(logger, events::MACHINE_SUSPENDED, "period_ms" => *period_ms);
+        }
+    }
+}
+
 /// The names of replicas, separated by commas.
 fn names(replicas: &[ReplicaName]) -> String {
     let names: Vec<&str> = replicas.iter().map(ReplicaName::as_str).collect();
--- a/daemon/src/forward/forward_loop.rs
+++ b/daemon/src/forward/forward_loop.rs
@@ -71,7 +71,10 @@
     store_reader::StoreReader, //
 };
 use crate::{
-    clock::DaemonClock,
+    clock::{
+        DaemonClock,
+        SuspensionWatch, //
+    },
     events,
     lifecycle::{
         DaemonLife,
@@ -103,6 +106,7 @@
 /// The state of the forwarding loop. It runs on one thread and decides on one event at a time.
 pub(super) struct ForwardLoop {
     pub(super) clock: DaemonClock,
+    pub(super) suspension_watch: SuspensionWatch,
     /// Name of this daemon's VM, and its data centre.
     pub(super) vm: DaemonName,
     pub(super) zone: ZoneName,
@@ -197,6 +201,7 @@
                 };
                 self.dispatch(now, event);
             }
+            InboxEvent::FleetWritten(result) => self.end_fleet_write(now, &result),
             InboxEvent::CrashesKept(print, result) => self.end_keep(now, print, &result),
             InboxEvent::SyncAnswered(Some(body)) => {
                 self.update_peers(now, PeerEvent::SyncReplied { body });
@@ -242,6 +247,7 @@
             self.next_sweep_at = now + SWEEP_INTERVAL;
             self.idle_pool.sweep(now);
             self.preconnect(now);
+            self.confirm_fleet(now);
             self.publish_gauges(now);
         }
         if self.quiet_until <= now {
@@ -291,6 +297,13 @@
                 ForwardAction::ShareLimits { to, notice } => {
                     self.update_peers(now, PeerEvent::LimitsShared { to, notice });
                 }
+                ForwardAction::ShareRates { to, message } => {
+                    self.update_peers(now, PeerEvent::RatesShared { to, message });
+                }
+                ForwardAction::WriteFleet {
+                    record,
+                    expected_revision,
+                } => self.write_fleet(record, expected_revision),
                 ForwardAction::CloseIdle { replica } | ForwardAction::Forget { replica } => {
                     self.idle_pool.close(replica);
                 }
--- a/daemon/src/forward/forward_metrics.rs
+++ b/daemon/src/forward/forward_metrics.rs
@@ -62,6 +62,16 @@
     pub(super) limits: Family<DynamicLabel, Gauge<f64, AtomicU64>>,
     /// This daemon's share of each limit, in requests a second.
     pub(super) limit_shares: Family<DynamicLabel, Gauge<f64, AtomicU64>>,
+    /// Share of all rates that this daemon may issue, from 0 to 1.
+    pub(super) rate_share: Gauge<f64, AtomicU64>,
+    /// Daemons that have pledged their shares to this one.
+    pub(super) rate_pledges: Gauge,
+    /// Whether this daemon is its own authority for shared rates (1) or another one is (0).
+    pub(super) rate_authority: Gauge,
+    /// Decisions by shared rates, and messages, by kind.
+    pub(super) rate_counts: Family<StaticLabel, Counter>,
+    /// Writes of the record of the fleet, by outcome.
+    pub(super) fleet_writes: Family<StaticLabel, Counter>,
     /// Whether this daemon has lost its links to all replicas (1) or not (0).
     pub(super) stranded: Gauge,
     /// Health checks of replicas, by outcome.
@@ -120,6 +130,11 @@
             held_back: Family::default(),
             limits: Family::default(),
             limit_shares: Family::default(),
+            rate_share: Gauge::default(),
+            rate_pledges: Gauge::default(),
+            rate_authority: Gauge::default(),
+            rate_counts: Family::default(),
+            fleet_writes: Family::default(),
             stranded: Gauge::default(),
             health_checks: Family::default(),
             relays: Family::default(),
@@ -239,6 +254,31 @@
             "Requests a second that this daemon may send the replica",
             all.limit_shares.clone(),
         );
+        registry.register(
+            "forward_rate_share",
+            "Share of all shared rates that this daemon may issue",
+            all.rate_share.clone(),
+        );
+        registry.register(
+            "forward_rate_pledges",
+            "Daemons that have pledged their shares of all rates to this one",
+            all.rate_pledges.clone(),
+        );
+        registry.register(
+            "forward_rate_authority",
+            "Whether this daemon is the authority for shared rates",
+            all.rate_authority.clone(),
+        );
+        registry.register(
+            "forward_rates",
+            "Requests admitted, refused and waiting by shared rates, questions, answers and tokens issued",
+            all.rate_counts.clone(),
+        );
+        registry.register(
+            "forward_fleet_writes",
+            "Writes of the record of the fleet by outcome",
+            all.fleet_writes.clone(),
+        );
         registry.register(
             "forward_opened",
             "Connections opened to replicas",
--- a/daemon/src/forward/forward_peers.rs
+++ b/daemon/src/forward/forward_peers.rs
@@ -17,6 +17,7 @@
         PeerEvent,
         PeerMember, //
     },
+    rates::RateMember,
 };
 use schema::{
     peer::{
@@ -25,6 +26,7 @@
         NoteEntry,
         SyncBody, //
     },
+    MemberBuild,
     TimePoint, //
 };
 use tokio::{
@@ -94,6 +96,9 @@
                 PeerAction::LimitsReceived { from, notice } => {
                     self.dispatch(now, ForwardEvent::LimitsReported { from, notice });
                 }
+                PeerAction::RatesReceived { from, message } => {
+                    self.dispatch(now, ForwardEvent::RatesReceived { from, message });
+                }
                 // On this platform, route tables and drains come from the directory, and crashes are
                 // reported as notices.
                 PeerAction::FetchBundle { .. }
@@ -180,6 +185,15 @@
             capacity: member.cell.parse().unwrap_or_default(),
         });
         let relay_peers = relay_peers.collect();
+        let shares =
+            |member: &&PeerMember| MemberBuild::of_cell(&member.cell) >= MemberBuild::SharesRates;
+        let members = self.peers.members().filter(is_alive).filter(shares);
+        let members = members.map(|member| RateMember {
+            daemon: member.daemon.clone(),
+            capacity: member.cell.parse().unwrap_or_default(),
+        });
+        let members = members.collect();
+        self.dispatch(now, ForwardEvent::RateMembersListed(members));
         self.dispatch(now, ForwardEvent::RelayPeersListed(relay_peers));
         self.feed.set_peers(peers);
         // Dead members count too: a daemon that is unreachable from here may still spend its share
--- a/daemon/src/forward/inbox_event.rs
+++ b/daemon/src/forward/inbox_event.rs
@@ -99,6 +99,8 @@
     TrialClaimed(QueryId, QueryPrint, ClaimOutcome),
     /// The store was told to keep the crashes under a request; whether it has them.
     CrashesKept(QueryPrint, Result<bool, ReadError>),
+    /// The record of the fleet was sent to the store; whether the store has taken it.
+    FleetWritten(Result<bool, ReadError>),
     /// A membership sync with a peer ended; `None` if the peer did not answer.
     SyncAnswered(Option<SyncBody>),
     /// An operator asked for the status.
--- a/daemon/src/forward/mod.rs
+++ b/daemon/src/forward/mod.rs
@@ -7,6 +7,7 @@
 mod crash_tasks;
 mod directory_calls;
 mod exchange_call;
+mod fleet_store;
 mod forward_feed;
 mod forward_gauges;
 mod forward_life;
--- a/daemon/src/forward/run_forward.rs
+++ b/daemon/src/forward/run_forward.rs
@@ -40,6 +40,7 @@
         PeerCore,
         PeerSettings, //
     },
+    rates::RateBounds,
 };
 use prometheus_client::registry::Registry;
 use schema::{
@@ -90,7 +91,10 @@
 };
 use crate::{
     caller_port::CallerPort,
-    clock::DaemonClock,
+    clock::{
+        DaemonClock,
+        SuspensionWatch, //
+    },
     daemon_error::DaemonError,
     events,
     lifecycle::{
@@ -253,6 +257,12 @@
         retry_budget_slack: boot.retry_budget_slack,
         retry_budget_window: boot.retry_budget_window,
         capacity: boot.capacity,
+        incarnation: seed,
+        quota_bounds: boot.quota_bounds.map(|bounds| RateBounds {
+            window: bounds.window,
+            overage: bounds.overage,
+            slack: bounds.slack,
+        }),
     };
     let feed_settings = FeedSettings {
         age_max: boot
@@ -273,6 +283,7 @@
     spawn_local(run_keeper(reader.clone(), orders, events.clone()));
     let mut forward_loop = ForwardLoop {
         clock,
+        suspension_watch: SuspensionWatch::start(),
         vm: boot.vm,
         zone: boot.zone,
         engine: ForwardEngine::new(settings),
@@ -336,12 +347,18 @@
                 .instant_at(forward_loop.next_wakeup())
                 .into(),
         );
+        let mut peer_input = None;
         tokio::select! {
             biased;
             _ = inbox.recv_many(&mut batch, EVENT_BATCH) => {}
-            Some(input) = peer_inputs.recv() => forward_loop.handle_peer_input(input),
+            Some(input) = peer_inputs.recv() => peer_input = Some(input),
             () = wakeup => {}
         }
+        // What has arrived may have been sent before a suspension.
+        forward_loop.check_suspension();
+        if let Some(input) = peer_input {
+            forward_loop.handle_peer_input(input);
+        }
         for event in batch.drain(..) {
             forward_loop.handle(event);
         }
--- a/daemon/src/loop_peers.rs
+++ b/daemon/src/loop_peers.rs
@@ -109,7 +109,9 @@
                 self.step_engine(now, EngineEvent::DrainReported { vm, until });
             }
             // Only daemons on the users' platform count crashes in this way, and share limits.
-            PeerAction::CrashReceived { .. } | PeerAction::LimitsReceived { .. } => {}
+            PeerAction::CrashReceived { .. }
+            | PeerAction::LimitsReceived { .. }
+            | PeerAction::RatesReceived { .. } => {}
             PeerAction::QuarantineReceived {
                 print,
                 deaths,
--- a/policy/src/forward/forward_action.rs
+++ b/policy/src/forward/forward_action.rs
@@ -6,6 +6,7 @@
     AttemptId,
     CrashNotice,
     DaemonName,
+    FleetRecord,
     LimitNotice,
     QueryId,
     QueryPrint,
@@ -20,6 +21,7 @@
     RelayCommand,
     ReplicaKey, //
 };
+use crate::rates::RateMessage;
 
 /// A request to be sent to one replica.
 #[derive(Clone, Debug)]
@@ -98,6 +100,20 @@
         /// The limits and what this daemon needs or grants.
         notice: LimitNotice,
     },
+    /// Ask another daemon about shared rates, or answer it.
+    ShareRates {
+        /// The other daemon.
+        to: DaemonName,
+        /// The question or answer.
+        message: RateMessage,
+    },
+    /// Write the record of the fleet to the store.
+    WriteFleet {
+        /// The new record.
+        record: FleetRecord,
+        /// Revision that the item must have; 0 if there must be none.
+        expected_revision: u64,
+    },
     /// Close the idle connections to a replica that has sent no reply for so long that they may be
     /// dead.
     CloseIdle {
--- a/policy/src/forward/forward_engine.rs
+++ b/policy/src/forward/forward_engine.rs
@@ -51,7 +51,14 @@
     RequestIdentity,
     RouteIndex, //
 };
-use crate::places::RequestPlacement;
+use crate::{
+    places::RequestPlacement,
+    rates::{
+        RateBounds,
+        RateSettings,
+        RateTable, //
+    },
+};
 
 /// Margin before the latency goal for delays that the daemon can't measure: that of the caller's
 /// link (3 ms each way in the deployments, and as much again for a new connection) and the daemon's
@@ -109,6 +116,9 @@
     pub(super) intake: RelayIntake,
     /// Services with queued parts in which an attempt has just ended.
     pub(super) freed_services: Vec<usize>,
+    /// Rates that all daemons share.
+    pub(super) rates: RateTable,
+    pub(super) quota_bounds: Option<RateBounds>,
 }
 
 impl ForwardEngine {
@@ -122,6 +132,12 @@
             delegates: DelegateTable::new(&settings),
             relays: BTreeMap::new(),
             intake: RelayIntake::default(),
+            rates: RateTable::new(RateSettings {
+                daemon: settings.daemon.clone(),
+                capacity: settings.capacity,
+                incarnation: settings.incarnation,
+            }),
+            quota_bounds: settings.quota_bounds,
             registry: ReplicaRegistry::new(settings),
             routes: BTreeMap::new(),
             requests: BTreeMap::new(),
@@ -174,7 +190,7 @@
                 let event = LoggedEvent::ZoneEvacuated { zone, evacuated };
                 actions.push(ForwardAction::Log(event));
             }
-            ForwardEvent::TableApplied(index) => self.apply_table(&index),
+            ForwardEvent::TableApplied(index) => self.apply_table(now, &index),
             ForwardEvent::DaemonsCounted { daemons, others } => {
                 self.registry.set_daemons(now, daemons, others);
             }
@@ -203,7 +219,15 @@
             ForwardEvent::BranchGathered { attempt, answer } => {
                 self.on_branch_gathered(now, attempt, answer, actions);
             }
+            ForwardEvent::RatesReceived { from, message } => {
+                self.on_rates_received(now, &from, &message, actions);
+            }
+            ForwardEvent::RateMembersListed(members) => self.rates.set_members(now, members),
+            ForwardEvent::FleetListed(entry) => self.rates.set_fleet(now, entry),
+            ForwardEvent::DirectoryKnown { at } => self.rates.confirm_fleet(now, at),
+            ForwardEvent::Suspended { period } => self.rates.on_suspended(now, period),
             ForwardEvent::TimerFired => {
+                self.run_rates(now, actions);
                 self.on_timer(now, actions);
                 self.check_links(now, actions);
                 self.update_borrowed(now);
@@ -227,6 +251,7 @@
         let shared = self.crashes.next_wakeup().min(self.crashes.next_check());
         let shared = shared.min(self.registry.limits.next_wakeup());
         let links = self.reach.next_wakeup().min(self.helpers.next_wakeup());
+        let shared = shared.min(self.rates.next_wakeup());
         timer.min(expiry).min(shared).min(links)
     }
 
@@ -255,8 +280,9 @@
 
     /// Applies a new route table: forgets the state of removed routes and updates the connection
     /// limits of services.
-    fn apply_table(&mut self, index: &RouteIndex) {
+    fn apply_table(&mut self, now: TimePoint, index: &RouteIndex) {
         let table = &index.table;
+        self.apply_quotas(now, &table.accounts);
         for (name, connections) in &table.services {
             let service = self.registry.index_of(name);
             self.registry.services[service].max_connections = *connections;
--- a/policy/src/forward/forward_event.rs
+++ b/policy/src/forward/forward_event.rs
@@ -1,16 +1,21 @@
 //! Events that the daemon reports to the forwarding engine.
 
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 
 use schema::{
     AttemptId,
     CrashNotice,
     DaemonName,
+    FleetEntry,
     LimitNotice,
     QueryId,
     QueryPrint,
     ReplicaEntry,
     ReplicaName,
+    TimePoint,
     ZoneName, //
 };
 
@@ -27,6 +32,10 @@
     ReplicaKey,
     RouteIndex, //
 };
+use crate::rates::{
+    RateMember,
+    RateMessage, //
+};
 
 /// An event for the forwarding engine.
 #[derive(Clone, Debug)]
@@ -153,6 +162,27 @@
         /// The shards that it has got.
         answer: BranchAnswer,
     },
+    /// Another daemon asked about shared rates, or answered.
+    RatesReceived {
+        /// The other daemon.
+        from: DaemonName,
+        /// The question or answer.
+        message: RateMessage,
+    },
+    /// The other live daemons that share rates changed.
+    RateMembersListed(Vec<RateMember>),
+    /// The record of the fleet changed.
+    FleetListed(FleetEntry),
+    /// The copy of the directory contains all that the store had acknowledged before.
+    DirectoryKnown {
+        /// Until when.
+        at: TimePoint,
+    },
+    /// The machine was suspended, so that the clock stood still.
+    Suspended {
+        /// For how long.
+        period: Duration,
+    },
     /// The time returned by `next_wakeup` has come.
     TimerFired,
 }
--- a/policy/src/forward/forward_settings.rs
+++ b/policy/src/forward/forward_settings.rs
@@ -12,6 +12,8 @@
     ZoneName, //
 };
 
+use crate::rates::RateBounds;
+
 /// Settings that are fixed when the engine is created.
 #[derive(Clone, Debug)]
 pub struct ForwardSettings {
@@ -32,6 +34,10 @@
     pub retry_budget_window: Duration,
     /// Processor capacity of this daemon, as the other daemons know it.
     pub capacity: CpuCapacity,
+    /// Distinguishes this run of the daemon's process from earlier ones; later runs have greater numbers.
+    pub incarnation: u64,
+    /// How far accounts may exceed their quotas; `None` if there are no quotas.
+    pub quota_bounds: Option<RateBounds>,
 }
 
 impl Default for ForwardSettings {
@@ -45,6 +51,8 @@
             retry_budget_slack: 0.0,
             retry_budget_window: Duration::from_secs(10),
             capacity: CpuCapacity::default(),
+            incarnation: 0,
+            quota_bounds: None,
         }
     }
 }
--- a/policy/src/forward/logged_event.rs
+++ b/policy/src/forward/logged_event.rs
@@ -21,6 +21,7 @@
     RelayRefusal,
     UnreadableStatement, //
 };
+use crate::rates::RateEvent;
 
 /// An event for the log. Some of them are counted in metrics too.
 #[derive(Clone, Debug, PartialEq)]
@@ -291,6 +292,8 @@
         /// Time for which it gets no more gathers.
         period: Duration,
     },
+    /// Something has changed in the sharing of rates.
+    RatesChanged(RateEvent),
     /// The relay of a request ended.
     RelayEnded {
         /// The request.
--- a/policy/src/forward/mod.rs
+++ b/policy/src/forward/mod.rs
@@ -10,6 +10,7 @@
 //! caller gets an *answer*. *Extra* attempts are hedges (sent while another attempt is late) and
 //! retries (sent after one failed).
 
+mod account_admission;
 mod arrival_refusal;
 mod attempt_dispatch;
 mod attempt_results;
@@ -47,6 +48,7 @@
 mod part_queue;
 mod pending_request;
 mod probe_outcome;
+mod rate_exchange;
 mod reach_monitor;
 mod record_merge;
 mod relay_command;
--- a/policy/src/rates/rate_limit.rs
+++ b/policy/src/rates/rate_limit.rs
@@ -17,3 +17,27 @@
     /// Requests in a window that may be used in addition.
     pub slack: f64,
 }
+
+/// How far rates of one kind may be exceeded in any window.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RateBounds {
+    /// Length of the window.
+    pub window: Duration,
+    /// Part of what the rate allows in a window that is allowed in addition.
+    pub overage: f64,
+    /// Requests that are allowed in addition.
+    pub slack: f64,
+}
+
+impl RateBounds {
+    /// The limit of a rate with these bounds.
+    pub fn limit(&self, per_second: f64, burst: f64) -> RateLimit {
+        RateLimit {
+            per_second,
+            burst,
+            window: self.window,
+            overage: self.overage,
+            slack: self.slack,
+        }
+    }
+}
--- a/policy/tests/crash_bench/mod.rs
+++ b/policy/tests/crash_bench/mod.rs
@@ -179,8 +179,11 @@
                     self.store.remove(&print);
                 }
                 ForwardAction::ClaimTrial { query, notice } => claims.push((query, notice)),
-                // The replicas of these tests name no limits, and the daemons keep their links.
+                // The replicas of these tests name no limits, no rates are shared, and the daemons keep
+                // their links.
                 ForwardAction::ShareLimits { .. }
+                | ForwardAction::ShareRates { .. }
+                | ForwardAction::WriteFleet { .. }
                 | ForwardAction::AskHelper { .. }
                 | ForwardAction::Relay(_)
                 | ForwardAction::CloseIdle { .. }
--- a/policy/tests/peers_kit/mod.rs
+++ b/policy/tests/peers_kit/mod.rs
@@ -267,7 +267,8 @@
             note @ (PeerAction::DrainReceived { .. }
             | PeerAction::QuarantineReceived { .. }
             | PeerAction::CrashReceived { .. }
-            | PeerAction::LimitsReceived { .. }) => {
+            | PeerAction::LimitsReceived { .. }
+            | PeerAction::RatesReceived { .. }) => {
                 self.nodes[node].received_notes.push((now, note));
             }
         }
--- a/policy/tests/rates_model/mod.rs
+++ b/policy/tests/rates_model/mod.rs
@@ -16,10 +16,7 @@
 };
 
 pub(crate) use fault_plan::FaultKind;
-pub(crate) use model_report::{
-    AccountTally,
-    ModelReport, //
-};
+pub(crate) use model_report::ModelReport;
 use policy::rates::{
     RateAction,
     RateAdmission,
