--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -189,6 +189,16 @@
     /// Another daemon has relayed a request whose account this one does not know.
     ACCOUNT_UNKNOWN = "E7043" Info
         "declined a relayed request because its account can't be told from this daemon's table";
+    /// Another daemon issues the tokens of shared rates to this one.
+    AUTHORITY_CHOSEN = "E7050" Info "authority for shared rates chosen";
+    /// The record of the fleet has changed.
+    FLEET_CHANGED = "E7051" Info "record of the fleet changed; each listed daemon has an equal share of all rates";
+    /// This daemon changes the record of the fleet.
+    FLEET_WRITTEN = "E7052" Info "writing the record of the fleet to the store";
+    /// The store has not taken the record.
+    FLEET_NOT_WRITTEN = "E7053" Warning "record of the fleet not written; trying again in some seconds";
+    /// The machine was suspended.
+    MACHINE_SUSPENDED = "E7054" Warning "machine was suspended; dropping tokens and pledges of shared rates";
 }
 
 /// Logs an event of the catalogue with its code and the given fields:
--- a/policy/src/forward/mod.rs
+++ b/policy/src/forward/mod.rs
@@ -50,6 +50,7 @@
 mod part_queue;
 mod pending_request;
 mod probe_outcome;
+mod rate_exchange;
 mod reach_monitor;
 mod record_merge;
 mod relay_command;
