--- a/daemon/tests/forward_cluster/mod.rs
+++ b/daemon/tests/forward_cluster/mod.rs
@@ -114,11 +114,13 @@
 
     /// Largest memory that the process has had, in bytes.
     pub(crate) fn peak_memory(&self) -> usize {
-        let path = format!("/proc/{}/status", self.child.id());
-        let status = std::fs::read_to_string(path).unwrap();
-        let line = status.lines().find(|line| line.starts_with("VmHWM:"));
-        let kilobytes = line.unwrap().split_whitespace().nth(1).unwrap();
-        kilobytes.parse::<usize>().unwrap() * 1024
+        peak_memory(self.child.id())
+    }
+
+    /// Number of descriptors that the process has open.
+    pub(crate) fn open_descriptors(&self) -> usize {
+        let path = format!("/proc/{}/fd", self.child.id());
+        std::fs::read_dir(path).unwrap().count()
     }
 
     /// Sends the signal `name`, such as `TERM`.
@@ -204,6 +206,28 @@
         DaemonProcess::start(&boot, ip, sink)
     }
 
+    /// Starts a daemon whose settings limit its memory to `memory_mb` and its open descriptors to
+    /// `max_fds`, and waits until it is ready.
+    pub(crate) fn limited_daemon(
+        &mut self,
+        zone: &str,
+        memory_mb: usize,
+        max_fds: usize,
+    ) -> DaemonProcess {
+        self.last_number += 1;
+        let [high, low] = self.subnet;
+        let ip = [127, high, low, self.last_number];
+        let seeds = [[127, high, low, 1], [127, high, low, 2]];
+        let name = format!("d{}", self.last_number);
+        let boot = boot_text(&name, ip, zone, self.store_address, &seeds);
+        let mut boot: serde_json::Value = serde_json::from_str(&boot).unwrap();
+        boot["limits"]["memoryMb"] = memory_mb.into();
+        boot["limits"]["maxFds"] = max_fds.into();
+        let daemon = DaemonProcess::start(&boot.to_string(), ip, LogSink::File);
+        wait_for("the daemon is ready", || daemon.is_ready());
+        daemon
+    }
+
     /// Starts a daemon and waits until it is ready.
     pub(crate) fn ready_daemon(&mut self, zone: &str) -> DaemonProcess {
         let daemon = self.spawn(zone);
@@ -229,3 +253,11 @@
     let line = format!("GET {path}");
     call(daemon.callers(), &line, id, Duration::from_secs(2), b"")
 }
+
+/// Largest memory that the process `pid` has had, in bytes.
+pub(crate) fn peak_memory(pid: u32) -> usize {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
+    let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+    let kilobytes = line.unwrap().split_whitespace().nth(1).unwrap();
+    kilobytes.parse::<usize>().unwrap() * 1024
+}
