Bound the memory and descriptors for what callers and other daemons send

A request's body was collected in full whatever else was held, up to 2,000 connections were open at the caller port whatever the VM allows, and a frame at the peer port took up to 20 MB for each of 512 connections.

One budget for each port now follows from the memory and the descriptors of the settings: a quarter of the memory for request bytes of callers and an eighth for their connections, half of both for other daemons. A body reserves its announced length before it is read, or what has come; without room, reading stops for up to a second, connections without progress for 0.3 s that hold bytes are dropped, the oldest progress first, and then the request is refused with 503 and Retry-After. An address may hold half of the callers' bytes. When connections run out, the one that has waited longest for its caller is closed. Chunks are copied into one buffer. Incomplete replies take at most a fifth of the memory. The product's settings get limits.memory_mb and limits.descriptors.

--- a/daemon/src/caller_error.rs
+++ b/daemon/src/caller_error.rs
@@ -70,6 +70,9 @@
     /// The daemon has no bundle yet, or is stopping.
     #[error("this daemon is not serving; ask another")]
     NotServing,
+    /// There is no room for the request's bytes.
+    #[error("this daemon has no room for the request; repeat it later")]
+    NoRoom,
     /// The stop reached its time limit while the request was in flight; the request may have run.
     #[error("this daemon stopped before the request was answered; it may have run")]
     StopCut,
@@ -92,6 +95,7 @@
             Self::BodyIncomplete => "body_incomplete",
             Self::BodyNotText => "body_not_text",
             Self::NotServing => "not_serving",
+            Self::NoRoom => "no_room",
             Self::StopCut => "stop_cut",
         }
     }
@@ -103,7 +107,7 @@
             Self::BadMethod => StatusCode::METHOD_NOT_ALLOWED,
             Self::HeadersTooLarge { .. } => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::BodyTooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::NotServing => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotServing | Self::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
             Self::StopCut => StatusCode::INTERNAL_SERVER_ERROR,
             _ => StatusCode::BAD_REQUEST,
         }
@@ -113,6 +117,7 @@
     pub fn to_body(&self) -> ErrorBody {
         let retry_after_ms = match self {
             Self::NotServing => RETRY_ELSEWHERE_MS,
+            Self::NoRoom => RETRY_NO_ROOM_MS,
             _ => 0,
         };
         ErrorBody {
@@ -138,7 +143,9 @@
             | Self::BadHeader { header, .. } => header,
             Self::BadDeadline { .. } => "x-deadline-ms",
             Self::UnknownPath | Self::BadPath | Self::UnknownGroup { .. } => "path",
-            Self::BodyTooLarge { .. } | Self::BodyIncomplete | Self::BodyNotText => "body",
+            Self::BodyTooLarge { .. } | Self::BodyIncomplete | Self::BodyNotText | Self::NoRoom => {
+                "body"
+            }
             Self::BadMethod | Self::HeadersTooLarge { .. } | Self::NotServing | Self::StopCut => "",
         }
     }
@@ -146,3 +153,5 @@
 
 /// Delay after which the caller may try another daemon, in milliseconds.
 const RETRY_ELSEWHERE_MS: u64 = 100;
+/// Delay after which the caller may repeat a request for which there was no room, in milliseconds.
+const RETRY_NO_ROOM_MS: u64 = 1_000;
--- a/daemon/src/caller_port.rs
+++ b/daemon/src/caller_port.rs
@@ -1,10 +1,12 @@
 //! Accepts callers' connections and closes them gracefully.
 
 use std::{
+    future::Future,
     net::{
         IpAddr,
         SocketAddr, //
     },
+    pin::Pin,
     sync::{
         atomic::{
             AtomicBool,
@@ -28,6 +30,7 @@
     },
     service::TowerToHyperService, //
 };
+use socket2::SockRef;
 use tokio::{
     net::{
         TcpListener,
@@ -42,6 +45,11 @@
 };
 
 use crate::{
+    intake::{
+        IntakeGate,
+        IntakeSlot,
+        IntakeStream, //
+    },
     lifecycle::LifePhase,
     serving_view::ServingView, //
 };
@@ -51,6 +59,11 @@
 /// Delay before the next accept after one failed, so that a lack of file descriptors does not cause
 /// a busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
+/// Time to write a refusal to a caller that has made no progress.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Unread bytes that the system keeps for a connection. With the system's default, which grows to
+/// several megabytes, a hundred callers could use up the memory of the smallest VM.
+const RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
 /// Smallest buffer that the HTTP library accepts.
 const BUFFER_MIN_BYTES: usize = 8192;
 
@@ -66,8 +79,9 @@
     /// Largest header block, in bytes. The HTTP library's buffer, which is the hard limit, is at
     /// least twice that.
     pub(crate) header_max_bytes: usize,
-    /// Largest number of open connections; further ones wait in the listener's backlog.
-    pub(crate) connections_max: usize,
+    /// Limits on open connections and on the bytes of their requests. While all connections are being
+    /// served, further ones wait in the listener's backlog.
+    pub(crate) intake: IntakeGate,
     /// Longest time a caller may take to send its headers, and longest time a connection may be
     /// idle.
     pub(crate) idle_timeout: Duration,
@@ -79,12 +93,15 @@
     /// Serves until the daemon drains and every connection has finished. Connections that are
     /// already in the listener's backlog at that time are still accepted.
     pub(crate) async fn serve(mut self) {
+        // Unread bytes of a connection take memory too. A failure leaves the system's default.
+        let _ = SockRef::from(&self.listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
         let mut connections = JoinSet::new();
         loop {
-            let has_room = connections.len() < self.connections_max;
+            let has_room = self.intake.can_open();
             tokio::select! {
                 () = wait_for_drain(&mut self.view) => break,
                 Some(_) = connections.join_next() => {}
+                () = self.intake.wait_for_connections(), if !has_room => {}
                 accepted = self.listener.accept(), if has_room => self.start_connection(accepted, &mut connections).await,
             }
         }
@@ -104,12 +121,15 @@
             sleep(ACCEPT_RETRY_DELAY).await;
             return;
         };
+        let Some(slot) = self.intake.open(address.ip()) else {
+            return;
+        };
         let _ = stream.set_nodelay(true);
         let buffer_bytes = (2 * self.header_max_bytes).max(BUFFER_MIN_BYTES);
         let routes = self.routes.clone();
         let idle = self.idle_timeout;
         connections.spawn_local(serve_connection(
-            stream,
+            IntakeStream { stream, slot },
             CallerAddress(address.ip()),
             routes,
             buffer_bytes,
@@ -120,7 +140,7 @@
 }
 
 async fn serve_connection(
-    stream: TcpStream,
+    stream: IntakeStream,
     address: CallerAddress,
     routes: Router,
     buffer_bytes: usize,
@@ -128,10 +148,12 @@
     mut view: watch::Receiver<ServingView>,
 ) {
     let used = Arc::new(AtomicBool::new(false));
+    let slot = stream.slot.clone();
     let service = RequestMarker {
         inner: TowerToHyperService::new(routes),
         used: used.clone(),
         address,
+        slot: slot.clone(),
     };
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -143,6 +165,14 @@
     // request reports it.
     tokio::select! {
         _ = connection.as_mut() => return,
+        () = slot.dropped() => {
+            // The handler that reads the body answers; without one there is nothing to answer.
+            if slot.is_reading_body() {
+                connection.as_mut().graceful_shutdown();
+                let _ = timeout(REFUSAL_TIMEOUT, connection).await;
+            }
+            return;
+        }
         () = wait_for_drain(&mut view) => connection.as_mut().graceful_shutdown(),
     }
     tokio::select! {
@@ -166,16 +196,33 @@
     inner: TowerToHyperService<Router>,
     used: Arc<AtomicBool>,
     address: CallerAddress,
+    slot: IntakeSlot,
+}
+
+/// Frees what a request holds in the budget when its reply is ready or the connection has ended.
+struct RequestGuard(IntakeSlot);
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        self.0.end_request();
+    }
 }
 
 impl Service<http::Request<Incoming>> for RequestMarker {
     type Response = <TowerToHyperService<Router> as Service<http::Request<Incoming>>>::Response;
     type Error = <TowerToHyperService<Router> as Service<http::Request<Incoming>>>::Error;
-    type Future = <TowerToHyperService<Router> as Service<http::Request<Incoming>>>::Future;
+    type Future = Pin<Box<dyn Future<Output = Result<Self::Response, Self::Error>>>>;
 
     fn call(&self, mut request: http::Request<Incoming>) -> Self::Future {
         self.used.store(true, Ordering::Relaxed);
         request.extensions_mut().insert(self.address);
-        self.inner.call(request)
+        request.extensions_mut().insert(self.slot.clone());
+        self.slot.start_request();
+        let guard = RequestGuard(self.slot.clone());
+        let reply = self.inner.call(request);
+        Box::pin(async move {
+            let _guard = guard;
+            reply.await
+        })
     }
 }
--- a/daemon/src/caller_routes.rs
+++ b/daemon/src/caller_routes.rs
@@ -30,11 +30,6 @@
     Router, //
 };
 use bytes::Bytes;
-use http_body_util::{
-    BodyExt,
-    LengthLimitError,
-    Limited, //
-};
 use policy::engine::QueryCall;
 use schema::{
     GroupName,
@@ -48,7 +43,7 @@
         oneshot,
         watch, //
     },
-    time::timeout_at, //
+    task::spawn_local, //
 };
 
 use crate::{
@@ -59,6 +54,12 @@
     caller_error::CallerError,
     caller_request::CallerHeaders,
     clock::DaemonClock,
+    intake::{
+        drain_body,
+        read_body,
+        BodyFailure,
+        IntakeSlot, //
+    },
     lifecycle::LifePhase,
     loop_event::{
         ArrivedCall,
@@ -151,7 +152,8 @@
         let group = self.find_group(group)?;
         let headers = CallerHeaders::read(&parts.headers, &group.policy)?;
         let deadline = arrived + headers.deadline;
-        let body = self.read_body(body, &group, deadline).await?;
+        let slot = parts.extensions.get::<IntakeSlot>();
+        let body = self.read_body(slot, body, &group, deadline).await?;
         let context = AnswerContext {
             request: headers.request.clone(),
             group: group.name.clone(),
@@ -184,21 +186,22 @@
 
     async fn read_body(
         &self,
-        body: Body,
+        slot: Option<&IntakeSlot>,
+        mut body: Body,
         group: &GroupSpec,
         deadline: TimePoint,
     ) -> Result<Bytes, CallerError> {
         let max = group.policy.body_max as usize;
         let deadline_instant = self.clock.instant_at(deadline).into();
-        let collected = timeout_at(deadline_instant, Limited::new(body, max).collect()).await;
-        let collected = collected.map_err(|_| CallerError::BodyIncomplete)?;
-        let body = match collected {
-            Ok(body) => body.to_bytes(),
-            Err(error) if error.is::<LengthLimitError>() => {
-                return Err(CallerError::BodyTooLarge { max });
-            }
-            Err(_) => return Err(CallerError::BodyIncomplete),
-        };
+        let read = read_body(slot, &mut body, max, deadline_instant).await;
+        if matches!(read, Err(BodyFailure::NoRoom | BodyFailure::TooLarge)) {
+            spawn_local(drain_body(body, max));
+        }
+        let body = read.map_err(|failure| match failure {
+            BodyFailure::TooLarge => CallerError::BodyTooLarge { max },
+            BodyFailure::Broken | BodyFailure::Late => CallerError::BodyIncomplete,
+            BodyFailure::NoRoom => CallerError::NoRoom,
+        })?;
         if std::str::from_utf8(&body).is_err() {
             return Err(CallerError::BodyNotText);
         }
@@ -261,5 +264,10 @@
 }
 
 fn error_response(error: &CallerError) -> Response {
-    (error.status(), Json(error.to_body())).into_response()
+    let mut response = (error.status(), Json(error.to_body())).into_response();
+    if *error == CallerError::NoRoom {
+        let seconds = HeaderValue::from_static("1");
+        response.headers_mut().insert(header::RETRY_AFTER, seconds);
+    }
+    response
 }
--- a/daemon/src/config/daemon_config.rs
+++ b/daemon/src/config/daemon_config.rs
@@ -102,7 +102,7 @@
             trust: TrustConfig::from_settings(&settings.trust.clone().unwrap_or_default())?,
             log: LogConfig::from_settings(&settings.log.clone().unwrap_or_default())?,
             trace: TraceConfig::from_settings(&settings.trace.clone().unwrap_or_default())?,
-            limits: LimitConfig::from_settings(&settings.limits.unwrap_or_default()),
+            limits: LimitConfig::from_settings(&settings.limits.unwrap_or_default())?,
             stop: StopConfig::from_settings(&settings.stop.unwrap_or_default())?,
         })
     }
--- a/daemon/src/daemon_error.rs
+++ b/daemon/src/daemon_error.rs
@@ -7,6 +7,7 @@
 };
 
 use platform::PlatformError;
+use policy::intake::IntakeError;
 use schema::SchemaError;
 use thiserror::Error;
 
@@ -32,6 +33,9 @@
     /// The settings file that the users' platform writes is invalid.
     #[error("invalid settings file of the platform: {0}")]
     PlatformSettingsBad(#[from] PlatformError),
+    /// The limits on memory and descriptors leave no room to serve.
+    #[error("limits too small: {0}")]
+    LimitsTooSmall(IntakeError),
     /// A port cannot be opened.
     #[error("cannot listen on {address} for {role}: {error}")]
     ListenFailed {
@@ -74,6 +78,7 @@
             Self::SettingsUnreadable { .. }
             | Self::SettingsBad(_)
             | Self::PlatformSettingsBad(_)
+            | Self::LimitsTooSmall(_)
             | Self::PlatformUrlBad(_) => 2,
             Self::ListenFailed { .. } | Self::PeerPortFailed(_) => 3,
             Self::RuntimeFailed(_) | Self::ExporterFailed { .. } => 4,
--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -180,6 +180,14 @@
     ZONE_EVACUATED = "E7037" Info "data centre evacuated; sending its replicas no new requests";
     /// The operator has ended the evacuation of a data centre.
     ZONE_READMITTED = "E7038" Info "evacuation of the data centre ended; its replicas get requests again";
+    /// The sizes of the limits on connections and request bytes.
+    INTAKE_SIZED = "E7070" Info "limits on connections and request bytes set";
+    /// Connections of a port have run out.
+    CONNECTIONS_SHORT = "E7071" Warning
+        "connections have run out; closing those that have waited longest for their callers";
+    /// The room for request bytes of a port has run out.
+    REQUEST_BYTES_SHORT = "E7072" Warning
+        "room for request bytes has run out; refusing requests and dropping those without progress";
 }
 
 /// Logs an event of the catalogue with its code and the given fields:
--- a/daemon/src/forward/reply_budget.rs
+++ b/daemon/src/forward/reply_budget.rs
@@ -5,9 +5,10 @@
     rc::Rc, //
 };
 
-/// Bytes of incomplete replies that a daemon holds at most: a fifth of the memory of the smallest
-/// VMs.
+/// Bytes of incomplete replies that a daemon holds at most if the settings don't name its memory.
 const INCOMPLETE_BYTES_MAX: usize = 32 * 1024 * 1024;
+/// Part of the memory that incomplete replies may take.
+const MEMORY_DIVISOR: u64 = 5;
 /// An incomplete reply may take one part of this many of the bytes that are still free, so that
 /// replies without an end fail before they leave no room for others.
 const FREE_DIVISOR: usize = 2;
@@ -27,6 +28,16 @@
 }
 
 impl ReplyBudget {
+    /// The budget of a daemon with `memory_bytes` of memory.
+    pub(super) fn of_memory(memory_bytes: Option<u64>) -> Self {
+        let part = memory_bytes.map(|bytes| bytes / MEMORY_DIVISOR);
+        let part = part.and_then(|bytes| usize::try_from(bytes).ok());
+        let max = INCOMPLETE_BYTES_MAX.min(part.unwrap_or(INCOMPLETE_BYTES_MAX));
+        Self {
+            free_bytes: Rc::new(Cell::new(max)),
+        }
+    }
+
     /// Starts the account of one reply.
     pub(super) fn start_reply(&self) -> ReplyAccount {
         ReplyAccount {
--- a/daemon/src/forward/request_handler.rs
+++ b/daemon/src/forward/request_handler.rs
@@ -26,12 +26,10 @@
     HeaderValue,
     StatusCode, //
 };
-use http_body_util::{
-    BodyExt,
-    LengthLimitError,
-    Limited, //
+use platform::{
+    request_id,
+    set_retry_after, //
 };
-use platform::request_id;
 use schema::QueryId;
 use tokio::{
     sync::{
@@ -39,10 +37,8 @@
         oneshot,
         watch, //
     },
-    time::{
-        timeout,
-        Instant, //
-    },
+    task::spawn_local,
+    time::Instant, //
 };
 
 use super::{
@@ -51,6 +47,12 @@
     inbox_event::InboxEvent, //
 };
 use crate::{
+    intake::{
+        drain_body,
+        read_body,
+        BodyFailure,
+        IntakeSlot, //
+    },
     lifecycle::LifePhase,
     serving_view::ServingView, //
 };
@@ -58,6 +60,10 @@
 /// Longest time to read a request's body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time after which a caller may repeat a request for which there was no room: longer than connections
+/// without progress keep theirs.
+const ROOM_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// State shared by all handlers of the caller port.
 #[derive(Clone, Debug)]
 pub(super) struct RequestHandler {
@@ -94,10 +100,16 @@
 async fn forward(State(handler): State<RequestHandler>, request: Request) -> Response {
     let reply = match handler.serve(request).await {
         Ok(reply) => reply,
-        Err(status) => CallerReply {
-            status,
-            ..CallerReply::default()
-        },
+        Err(status) => {
+            let mut reply = CallerReply {
+                status,
+                ..CallerReply::default()
+            };
+            if status == StatusCode::SERVICE_UNAVAILABLE {
+                set_retry_after(&mut reply.headers, ROOM_RETRY_AFTER);
+            }
+            reply
+        }
     };
     let mut response = Response::new(Body::from(reply.body));
     *response.status_mut() = reply.status;
@@ -117,7 +129,8 @@
         if request_id(&head.headers).is_none() {
             return Err(StatusCode::BAD_REQUEST);
         }
-        let body = self.read_body(body).await?;
+        let slot = head.extensions.get::<IntakeSlot>();
+        let body = self.read_body(slot, body).await?;
         let query = QueryId(self.last_query.fetch_add(1, Ordering::Relaxed) + 1);
         let (reply_sender, reply_receiver) = oneshot::channel();
         let arrived = ArrivedRequest {
@@ -143,13 +156,28 @@
         reply.map_err(|_| StatusCode::BAD_GATEWAY)
     }
 
-    async fn read_body(&self, body: Body) -> Result<Bytes, StatusCode> {
+    async fn read_body(
+        &self,
+        slot: Option<&IntakeSlot>,
+        mut body: Body,
+    ) -> Result<Bytes, StatusCode> {
         let max_bytes = self.view.borrow().limits.body_bytes;
-        match timeout(BODY_TIMEOUT, Limited::new(body, max_bytes).collect()).await {
-            Ok(Ok(body)) => Ok(body.to_bytes()),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
-            Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
-            Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
+        let deadline = Instant::now() + BODY_TIMEOUT;
+        let failure = match read_body(slot, &mut body, max_bytes, deadline).await {
+            Ok(bytes) => return Ok(bytes),
+            Err(failure) => failure,
+        };
+        match failure {
+            BodyFailure::Broken | BodyFailure::Late => {}
+            BodyFailure::NoRoom | BodyFailure::TooLarge => {
+                spawn_local(drain_body(body, max_bytes));
+            }
         }
+        Err(match failure {
+            BodyFailure::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            BodyFailure::Broken => StatusCode::BAD_REQUEST,
+            BodyFailure::Late => StatusCode::REQUEST_TIMEOUT,
+            BodyFailure::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
+        })
     }
 }
--- a/daemon/src/forward/run_forward.rs
+++ b/daemon/src/forward/run_forward.rs
@@ -36,6 +36,7 @@
         ForwardEngine,
         ForwardSettings, //
     },
+    intake::IntakeSettings,
     peers::{
         PeerCore,
         PeerSettings, //
@@ -78,6 +79,7 @@
     forward_metrics::ForwardMetrics,
     idle_pool::IdlePool,
     inbox_event::InboxEvent,
+    reply_budget::ReplyBudget,
     request_handler::{
         caller_routes,
         RequestHandler, //
@@ -93,6 +95,10 @@
     clock::DaemonClock,
     daemon_error::DaemonError,
     events,
+    intake::{
+        IntakeGate,
+        IntakeMetrics, //
+    },
     lifecycle::{
         DaemonLife,
         LifePhase, //
@@ -120,8 +126,6 @@
 const STATUS_PATH: &str = "/status";
 /// Largest number of events handled between two checks of the timers.
 const EVENT_BATCH: usize = 32;
-/// Largest number of connections to the caller port.
-const MAX_CALLER_CONNECTIONS: usize = 2_000;
 /// Largest number of connections to each of the other ports.
 const MAX_ADMIN_CONNECTIONS: usize = 16;
 /// Time-out given to `HttpClient`, which allows half of it to connect to the store.
@@ -170,7 +174,20 @@
     let clock = DaemonClock::start();
     let (events, inbox) = unbounded_channel();
     let (view_sender, view) = watch::channel(ServingView::default());
-    let (metrics, registry) = ForwardMetrics::register();
+    let (metrics, mut registry) = ForwardMetrics::register();
+    let intake_metrics = IntakeMetrics::register(&mut registry);
+    let caller_intake = IntakeSettings::of_callers(boot.memory_bytes, boot.descriptors)
+        .map_err(DaemonError::LimitsTooSmall)?;
+    let peer_intake = IntakeSettings::of_peers(boot.memory_bytes, boot.descriptors)
+        .map_err(DaemonError::LimitsTooSmall)?;
+    log_event!(
+        log, events::INTAKE_SIZED,
+        "caller_connections" => caller_intake.connections_max,
+        "caller_bytes" => caller_intake.bytes_max,
+        "peer_connections" => peer_intake.connections_max, "peer_bytes" => peer_intake.bytes_max,
+    );
+    let gate =
+        |port, settings| IntakeGate::new(port, settings, log.clone(), intake_metrics.clone());
     let last_query = Arc::new(AtomicU64::new(0));
     let handler = RequestHandler {
         last_query: Arc::clone(&last_query),
@@ -182,7 +199,7 @@
         listener: bind("callers", boot.caller_address).await?,
         routes: caller_routes(handler),
         header_max_bytes: limits.header_bytes,
-        connections_max: MAX_CALLER_CONNECTIONS,
+        intake: gate("callers", caller_intake),
         idle_timeout: limits.idle_timeout,
         view: view.clone(),
     };
@@ -200,7 +217,7 @@
             listener: bind("operators", address).await?,
             routes,
             header_max_bytes: limits.header_bytes,
-            connections_max: MAX_ADMIN_CONNECTIONS,
+            intake: IntakeGate::for_operators(MAX_ADMIN_CONNECTIONS),
             idle_timeout: limits.idle_timeout,
             view: admin_view.clone(),
         };
@@ -212,6 +229,7 @@
         .with_body_timeout(STORE_BODY_TIMEOUT);
     let incarnation = Incarnation(seed);
     let socket = PeerSocket::bind(boot.peer_address).await?;
+    let socket = socket.with_intake(gate("peers", peer_intake));
     let (peer_link, peer_inputs) =
         PeerLink::serve(socket, PEER_KEY, &boot.vm, &boot.zone, incarnation);
     let peer_settings = PeerSettings {
@@ -298,7 +316,7 @@
         last_query,
         exchanges: Default::default(),
         idle_pool: IdlePool::default(),
-        reply_budget: Default::default(),
+        reply_budget: ReplyBudget::of_memory(boot.memory_bytes),
         preconnecting: Default::default(),
         log: ForwardLog::new(log, metrics.clone(), now),
         metrics,
--- /dev/null
+++ b/daemon/src/intake/mod.rs
@@ -0,0 +1,17 @@
+//! Bounds the connections of callers and other daemons and the memory for what they send.
+
+mod body_reader;
+mod intake_gate;
+mod intake_metrics;
+mod intake_slot;
+mod intake_stream;
+
+pub(crate) use body_reader::{
+    drain_body,
+    read_body,
+    BodyFailure, //
+};
+pub(crate) use intake_gate::IntakeGate;
+pub(crate) use intake_metrics::IntakeMetrics;
+pub(crate) use intake_slot::IntakeSlot;
+pub(crate) use intake_stream::IntakeStream;
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -22,6 +22,7 @@
 mod flags;
 mod forward;
 mod head_repair;
+mod intake;
 mod lifecycle;
 mod logs;
 mod loop_actions;
--- a/daemon/src/peering/peer_error.rs
+++ b/daemon/src/peering/peer_error.rs
@@ -33,6 +33,9 @@
         /// Largest allowed size, in bytes.
         max: usize,
     },
+    /// There is no room for the frame.
+    #[error("no room for the frame")]
+    NoRoom,
     /// The frame is malformed or its authentication failed.
     #[error("invalid frame from the peer: {0}")]
     BadFrame(#[from] CodecError),
--- a/daemon/src/peering/peer_link.rs
+++ b/daemon/src/peering/peer_link.rs
@@ -11,6 +11,7 @@
     time::Duration, //
 };
 
+use policy::intake::IntakeSettings;
 use schema::{
     peer::{
         stream_body::Body,
@@ -20,6 +21,7 @@
     Incarnation,
     ZoneName, //
 };
+use socket2::SockRef;
 use tokio::{
     net::{
         TcpListener,
@@ -35,7 +37,10 @@
         oneshot, //
     },
     task::JoinSet,
-    time::timeout, //
+    time::{
+        sleep,
+        timeout, //
+    },
 };
 
 use super::{
@@ -44,18 +49,30 @@
         RelayPool, //
     },
     stream_frame::{
-        read_frame,
+        read_call,
         write_frame, //
     },
     stream_pool::StreamPool,
     PeerError,
     PeerInput, //
 };
+use crate::intake::{
+    IntakeGate,
+    IntakeSlot, //
+};
 
 /// Largest number of messages that wait for the main loop; further datagrams are dropped.
 const INPUT_QUEUE_MAX: usize = 1_024;
-/// Largest number of open connections from peers; further ones are closed at once.
+/// Largest number of open connections from peers, unless set otherwise.
 const CONNECTIONS_MAX: usize = 512;
+/// Largest number of bytes of peers' frames that are held, unless set otherwise: three of the largest,
+/// each of which is decoded into a copy.
+const FRAME_BYTES_MAX: usize = 120 * 1024 * 1024;
+/// Unread bytes that the system keeps for a connection.
+const RECEIVE_BUFFER_BYTES: usize = 128 * 1024;
+/// Delay before the next accept after one failed, so that a lack of file descriptors does not cause
+/// a busy loop.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 /// Largest datagram, in bytes. Longer ones are truncated, so their authentication fails.
 const DATAGRAM_MAX_BYTES: usize = 2_048;
 /// Attempts to find a port number that is free for both UDP and TCP.
@@ -75,6 +92,7 @@
     datagrams: UdpSocket,
     streams: TcpListener,
     address: SocketAddr,
+    intake: IntakeGate,
 }
 
 impl PeerSocket {
@@ -110,8 +128,19 @@
             datagrams,
             streams,
             address,
+            intake: IntakeGate::unreported(IntakeSettings {
+                connections_max: CONNECTIONS_MAX,
+                bytes_max: FRAME_BYTES_MAX,
+                address_divisor: 1,
+                ..IntakeSettings::default()
+            }),
         })
     }
+
+    /// Sets the limits on connections and on the bytes of frames.
+    pub(crate) fn with_intake(self, intake: IntakeGate) -> Self {
+        Self { intake, ..self }
+    }
 }
 
 /// Sends messages to peers and receives theirs. Its tasks run on the current thread and end when it
@@ -150,7 +179,7 @@
             dropped.clone(),
         ));
         tasks.spawn_local(accept_connections(
-            socket.streams,
+            (socket.streams, socket.intake),
             key,
             template.clone(),
             inputs,
@@ -228,24 +257,30 @@
 }
 
 async fn accept_connections(
-    listener: TcpListener,
+    (listener, intake): (TcpListener, IntakeGate),
     key: [u8; 32],
     template: StreamBody,
     inputs: Sender<PeerInput>,
 ) {
+    // A failure leaves the system's default.
+    let _ = SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
     let mut connections = JoinSet::new();
     while !inputs.is_closed() {
         let Ok((stream, address)) = listener.accept().await else {
-            tokio::task::yield_now().await;
+            sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
         while connections.try_join_next().is_some() {}
-        if connections.len() >= CONNECTIONS_MAX {
+        let Some(slot) = intake.open(address.ip()) else {
             continue;
-        }
+        };
         let (template, inputs) = (template.clone(), inputs.clone());
         connections.spawn_local(async move {
-            let _ = answer_calls(stream, address.ip(), key, template, inputs).await;
+            let address = address.ip();
+            tokio::select! {
+                _ = answer_calls(stream, &slot, address, key, template, inputs) => {}
+                () = slot.dropped() => {}
+            }
         });
     }
 }
@@ -266,6 +301,7 @@
 /// Answers the calls of one connection, one after the other.
 async fn answer_calls(
     mut stream: TcpStream,
+    slot: &IntakeSlot,
     address: IpAddr,
     key: [u8; 32],
     template: StreamBody,
@@ -273,7 +309,7 @@
 ) -> Result<(), PeerError> {
     stream.set_nodelay(true)?;
     loop {
-        let frame = timeout(IDLE_TIMEOUT, read_frame(&mut stream, &key)).await;
+        let frame = timeout(IDLE_TIMEOUT, read_call(&mut stream, slot, &key)).await;
         let frame = frame.unwrap_or(Err(PeerError::Timeout))?;
         let Some(body) = frame.body else {
             return Ok(());
@@ -305,5 +341,6 @@
             ..template.clone()
         };
         write_frame(&mut stream, &key, &frame).await?;
+        slot.end_request();
     }
 }
--- a/daemon/src/peering/stream_frame.rs
+++ b/daemon/src/peering/stream_frame.rs
@@ -1,5 +1,7 @@
 //! Frames of a TCP connection: a length of four bytes, then an authenticated body.
 
+use std::io::ErrorKind::UnexpectedEof;
+
 use policy::peers::{
     open_stream,
     seal_stream, //
@@ -13,10 +15,16 @@
 };
 
 use super::PeerError;
+use crate::intake::IntakeSlot;
 
 /// Largest frame, in bytes: a bundle of the largest size and its head.
 const FRAME_MAX_BYTES: usize = 20 * 1024 * 1024;
 
+/// Smallest room that a frame asks for.
+const STEP_BYTES_MIN: usize = 16 * 1024;
+/// How often a frame is in memory while it is decoded.
+const FRAME_COPIES: usize = 2;
+
 /// Writes a frame.
 ///
 /// # Errors
@@ -53,6 +61,40 @@
     Ok(open_stream(key, &bytes)?)
 }
 
+/// Reads a frame of a peer that calls. Room for it and for the copy that is decoded from it is reserved
+/// as bytes arrive.
+///
+/// # Errors
+///
+/// [`PeerError`]; the connection cannot be used any more.
+pub(super) async fn read_call(
+    stream: &mut (impl AsyncRead + Unpin),
+    slot: &IntakeSlot,
+    key: &[u8; 32],
+) -> Result<StreamBody, PeerError> {
+    let length = stream.read_u32().await? as usize;
+    check_size(length)?;
+    slot.start_body();
+    let mut bytes = Vec::new();
+    while bytes.len() < length {
+        let capacity = (2 * bytes.len()).max(STEP_BYTES_MIN).min(length);
+        if !slot.take((capacity - bytes.len()) * FRAME_COPIES).await {
+            return Err(PeerError::NoRoom);
+        }
+        bytes.reserve_exact(capacity - bytes.len());
+        while bytes.len() < capacity {
+            let rest = (capacity - bytes.len()) as u64;
+            let count = (&mut *stream).take(rest).read_buf(&mut bytes).await?;
+            if count == 0 {
+                return Err(PeerError::ConnectionFailed(UnexpectedEof.into()));
+            }
+            slot.on_received(count);
+        }
+    }
+    slot.end_body();
+    Ok(open_stream(key, &bytes)?)
+}
+
 fn check_size(bytes: usize) -> Result<(), PeerError> {
     if bytes > FRAME_MAX_BYTES {
         return Err(PeerError::FrameTooLarge {
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -11,6 +11,7 @@
     time::Duration, //
 };
 
+use policy::intake::IntakeSettings;
 use schema::Incarnation;
 use slog::Logger;
 use tokio::{
@@ -57,6 +58,10 @@
     },
     daemon_error::DaemonError,
     events,
+    intake::{
+        IntakeGate,
+        IntakeMetrics, //
+    },
     lifecycle::LifePhase,
     log_event,
     loop_event::LoopEvent,
@@ -154,10 +159,20 @@
     let clock = DaemonClock::start();
     let (events, inbox) = unbounded_channel();
     let (view_sender, view) = watch::channel(ServingView::default());
-    let (metrics, registry) = DaemonMetrics::register();
+    let (metrics, mut registry) = DaemonMetrics::register();
+    let intake_metrics = IntakeMetrics::register(&mut registry);
+    let memory = Some(config.limits.memory_bytes);
+    let descriptors = Some(config.limits.descriptors);
+    let caller_intake = IntakeSettings::of_callers(memory, descriptors);
+    let caller_intake = caller_intake.map_err(DaemonError::LimitsTooSmall)?;
+    let peer_intake = IntakeSettings::of_peers(memory, descriptors);
+    let peer_intake = peer_intake.map_err(DaemonError::LimitsTooSmall)?;
+    let gate =
+        |port, settings| IntakeGate::new(port, settings, log.clone(), intake_metrics.clone());
     let caller = bind("callers", config.listen.caller).await?;
     let admin = bind("operators", config.listen.admin).await?;
     let peer = PeerSocket::bind(config.listen.peer).await?;
+    let peer = peer.with_intake(gate("peers", peer_intake));
     let bound = BoundAddresses {
         caller: local_address("callers", &caller, config.listen.caller)?,
         admin: local_address("operators", &admin, config.listen.admin)?,
@@ -175,11 +190,25 @@
         listener: caller,
         routes: caller_routes(caller_state),
         header_max_bytes: config.limits.header_bytes as usize,
-        connections_max: 2 * config.limits.requests as usize,
+        intake: gate(
+            "callers",
+            IntakeSettings {
+                connections_max: caller_intake
+                    .connections_max
+                    .min(2 * config.limits.requests as usize),
+                ..caller_intake
+            },
+        ),
         idle_timeout: IDLE_TIMEOUT,
         view: view.clone(),
     };
     let serving = spawn_local(serve_callers(port, events.clone()));
+    log_event!(
+        log, events::INTAKE_SIZED,
+        "caller_connections" => caller_intake.connections_max,
+        "caller_bytes" => caller_intake.bytes_max,
+        "peer_connections" => peer_intake.connections_max, "peer_bytes" => peer_intake.bytes_max,
+    );
     let admin_state = AdminState {
         events: events.clone(),
         view: view.clone(),
@@ -191,7 +220,7 @@
         listener: admin,
         routes: admin_routes(admin_state),
         header_max_bytes: config.limits.header_bytes as usize,
-        connections_max: ADMIN_CONNECTIONS_MAX,
+        intake: IntakeGate::for_operators(ADMIN_CONNECTIONS_MAX),
         idle_timeout: IDLE_TIMEOUT,
         view: admin_view,
     };
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod directory;
 pub mod engine;
 pub mod forward;
+pub mod intake;
 pub mod limits;
 pub mod peers;
 pub mod places;
