--- a/daemon/tests/caller_crowd/mod.rs
+++ b/daemon/tests/caller_crowd/mod.rs
@@ -3,7 +3,11 @@
 #![allow(clippy::unwrap_used, dead_code)]
 
 use std::{
-    io::Write,
+    io::{
+        ErrorKind,
+        Read,
+        Write, //
+    },
     net::{
         SocketAddr,
         TcpStream, //
@@ -75,7 +79,7 @@
                         member.sent += taken;
                         last_taken = Instant::now();
                     }
-                    Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
+                    Err(error) if error.kind() == ErrorKind::WouldBlock => {}
                     Err(_) => member.ended = true,
                 }
             }
@@ -88,6 +92,22 @@
     }
 }
 
+impl CallerCrowd {
+    /// What has come on each connection; `None` if nothing has. Panics if a connection was reset or ended
+    /// without an answer.
+    pub(crate) fn answers(&mut self) -> Vec<Option<String>> {
+        let answers = self.members.iter_mut().map(|member| {
+            let mut bytes = Vec::new();
+            match member.stream.read_to_end(&mut bytes) {
+                Err(error) if error.kind() == ErrorKind::WouldBlock && bytes.is_empty() => None,
+                Ok(_) | Err(_) if !bytes.is_empty() => Some(String::from_utf8(bytes).unwrap()),
+                end => panic!("the connection ended without an answer: {end:?}"),
+            }
+        });
+        answers.collect()
+    }
+}
+
 /// The head of a POST request for `path`, without its end.
 pub(crate) fn open_head(path: &str, id: &str) -> String {
     format!("POST {path} HTTP/1.1\r\nHost: a.example\r\nRequest-Id: {id}\r\n")
--- a/daemon/tests/caller_memory.rs
+++ b/daemon/tests/caller_memory.rs
@@ -316,6 +316,73 @@
     }
 }
 
+/// Guards against a refusal that the caller cannot read because the connection is reset, against a
+/// refused request that runs, and against stalled bodies that keep the room from whole ones.
+#[test]
+fn refusals_for_lack_of_room_are_read_and_not_run() {
+    let mut limited = LimitedDaemon::start(VM_FDS);
+    let mut crowd = CallerCrowd::connect(limited.callers(), 100, |number| {
+        counted_body("/one/x", &format!("f-{number}"), BODY_BYTES, BODY_BYTES - 1)
+    });
+    limited.send(&mut crowd, 65_536);
+    let body = vec![b'x'; BODY_BYTES];
+    let timeout = Duration::from_secs(5);
+    let line = "POST /one/x";
+    let mut number = 0;
+    // While the crowd is still waiting for room, another caller may be refused too.
+    wait_for("a whole body is served", || {
+        number += 1;
+        let id = format!("whole-{number}");
+        platform_standin::call(limited.callers(), line, &id, timeout, &body).status == 200
+    });
+    limited.settle();
+    let answers = crowd.answers();
+    let refused = answers.iter().flatten().filter(|answer| {
+        assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+        assert!(answer.contains("\r\nretry-after: 0.500\r\n"), "{answer}");
+        true
+    });
+    // A quarter of the memory holds 64 bodies.
+    assert!(refused.count() >= 36);
+    let runs = (0..100).map(|number| limited._served.runs_of(&format!("f-{number}")));
+    assert_eq!(runs.sum::<u32>(), 0);
+    limited.check();
+}
+
+/// Guards against limits that callers within the usual limits reach in normal operation.
+#[test]
+fn normal_load_meets_no_limit() {
+    let limited = LimitedDaemon::start(VM_FDS);
+    let address = limited.callers();
+    let callers: Vec<_> = (0..100)
+        .map(|caller| {
+            thread::spawn(move || {
+                // Four callers send bodies of the largest size.
+                let body = vec![b'x'; if caller < 4 { BODY_BYTES } else { 4_096 }];
+                for number in 0..4 {
+                    let id = format!("normal-{caller}-{number}");
+                    let line = "POST /one/x";
+                    let timeout = Duration::from_secs(5);
+                    // A service that has just started is not sent all requests at once.
+                    wait_for("the request is served", || {
+                        let reply = platform_standin::call(address, line, &id, timeout, &body);
+                        assert!([200, 503].contains(&reply.status), "{id} {reply:?}");
+                        reply.status == 200
+                    });
+                }
+            })
+        })
+        .collect();
+    for caller in callers {
+        assert!(caller.join().is_ok(), "{}", limited.daemon.log());
+    }
+    let metrics = limited.daemon.metrics();
+    assert!(metrics.contains("pollentally_intake_connections{port=\"callers\"}"));
+    for counter in ["intake_refused_total{", "intake_dropped_total{"] {
+        assert!(!metrics.contains(counter), "{counter}");
+    }
+}
+
 /// Guards against frames at the port for other daemons that stop one byte short.
 #[test]
 fn frames_of_peers_that_stop_short_stay_within_the_memory() {
