--- a/daemon/tests/settings.rs
+++ b/daemon/tests/settings.rs
@@ -76,6 +76,8 @@
         ("format: json", "format: xml"),
         ("level: info", "level: loud"),
         ("sample_pct: 1", "sample_pct: 101"),
+        ("memory_mb: 512", "memory_mb: 1"),
+        ("descriptors: 16584", "descriptors: 100"),
         ("bound_ms: 30000", "bound_ms: 5000"),
         ("peer_key: \"00", "peer_key: \"0"),
     ];
--- a/policy/tests/intake.rs
+++ b/policy/tests/intake.rs
@@ -207,9 +207,9 @@
                     held.retain(|(other, _)| *other != id);
                 }
                 (3, Some(id)) => {
-                    if budget.take(now, id, bytes, &mut dropped) == RoomAnswer::Taken {
-                        held.iter_mut().filter(|(other, _)| *other == id).for_each(|(_, held)| *held += bytes);
-                    }
+                    let answer = budget.take(now, id, bytes, &mut dropped);
+                    let taken = if answer == RoomAnswer::Taken { bytes } else { 0 };
+                    held.iter_mut().filter(|(other, _)| *other == id).for_each(|(_, held)| *held += taken);
                 }
                 (4, Some(id)) => {
                     budget.release(id);
