--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -199,6 +199,14 @@
     FLEET_NOT_WRITTEN = "E7053" Warning "record of the fleet not written; trying again in some seconds";
     /// The machine was suspended.
     MACHINE_SUSPENDED = "E7054" Warning "machine was suspended; dropping tokens and pledges of shared rates";
+    /// The sizes of the limits on connections and request bytes.
+    INTAKE_SIZED = "E7070" Info "limits on connections and request bytes set";
+    /// Connections of a port have run out.
+    CONNECTIONS_SHORT = "E7071" Warning
+        "connections have run out; closing those that have waited longest for their callers";
+    /// The room for request bytes of a port has run out.
+    REQUEST_BYTES_SHORT = "E7072" Warning
+        "room for request bytes has run out; refusing requests and dropping those without progress";
 }
 
 /// Logs an event of the catalogue with its code and the given fields:
