Hand requests with home regions only to daemons at home, and refuse them at once elsewhere

Plans of gathers use the replicas in the homes of the route; a delegate outside the homes of the account gets no shards, which the daemon gathers itself. A request whose services have replicas only elsewhere, or only in evacuated data centres, is refused at once with no_home or evacuated. Unknown home regions and unknown evacuated data centres are reported by E7060 and E7061. Queued parts are looked at again when an evacuation begins or ends.

Region names may be any printable text, so that a misspelt home does not drop its route.

--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -180,6 +180,10 @@
     ZONE_EVACUATED = "E7037" Info "data centre evacuated; sending its replicas no new requests";
     /// The operator has ended the evacuation of a data centre.
     ZONE_READMITTED = "E7038" Info "evacuation of the data centre ended; its replicas get requests again";
+    /// A home region that the settings file does not name.
+    HOME_UNKNOWN = "E7060" Warning "home region is no region of this deployment; it matches no replica";
+    /// An evacuation of a data centre that the settings file does not name.
+    ZONE_UNKNOWN = "E7061" Warning "evacuation of an unknown data centre; it is ignored";
 }
 
 /// Logs an event of the catalogue with its code and the given fields:
--- a/daemon/src/forward/forward_log.rs
+++ b/daemon/src/forward/forward_log.rs
@@ -341,6 +341,17 @@
             LoggedEvent::ZoneEvacuated { zone, .. } => {
                 log_event!(logger, events::ZONE_READMITTED, "zone" => %zone);
             }
+            LoggedEvent::HomeUnknown {
+                region,
+                routes,
+                accounts,
+            } => log_event!(
+                logger, events::HOME_UNKNOWN, "region" => %region, "routes" => routes,
+                "accounts" => accounts,
+            ),
+            LoggedEvent::ZoneUnknown { zone } => {
+                log_event!(logger, events::ZONE_UNKNOWN, "zone" => %zone);
+            }
             LoggedEvent::ReplicaRecovered { replica, service } => log_event!(
                 logger, events::REPLICA_RECOVERED, "replica" => %replica, "service" => %service,
             ),
--- a/daemon/src/forward/forward_peers.rs
+++ b/daemon/src/forward/forward_peers.rs
@@ -25,6 +25,7 @@
         NoteEntry,
         SyncBody, //
     },
+    MemberBuild,
     TimePoint, //
 };
 use tokio::{
@@ -178,6 +179,7 @@
             zone: member.zone.clone(),
             // The daemons of an older build name none, and those of this platform have no cells.
             capacity: member.cell.parse().unwrap_or_default(),
+            build: MemberBuild::of_cell(member.cell.as_str()),
         });
         let relay_peers = relay_peers.collect();
         self.dispatch(now, ForwardEvent::RelayPeersListed(relay_peers));
--- a/policy/src/forward/arrival_refusal.rs
+++ b/policy/src/forward/arrival_refusal.rs
@@ -16,6 +16,7 @@
     ForwardEngine,
     RefusalReason, //
 };
+use crate::places::RequestPlacement;
 
 /// The share of the time until its goal that a request of another daemon may spend in a queue. It is less
 /// than that of this daemon's own callers, who come first.
@@ -37,6 +38,7 @@
     ) -> Option<ForwardAnswer> {
         let placement = &request.placement;
         let mut usable = 0;
+        let mut unserved = None;
         let mut rest_ends: SmallVec<[TimePoint; 16]> = SmallVec::new();
         for part in &request.parts {
             if part.state != PartState::Open {
@@ -49,13 +51,19 @@
                 usable += 1;
             } else if let Some(until) = self.registry.rest_end(now, part.service, placement) {
                 rest_ends.push(until);
+            } else {
+                unserved.get_or_insert(part.service);
             }
         }
         let missing = request.needed.checked_sub(usable + 1)?;
         rest_ends.sort_unstable();
         let (reason, retry_after) = match rest_ends.get(missing) {
             Some(until) => (RefusalReason::Resting, until.since(now)),
-            None => (RefusalReason::NoReplica, NO_REPLICA_RETRY_AFTER),
+            None => {
+                let reason = unserved.map(|service| self.unserved_reason(now, service, placement));
+                let reason = reason.unwrap_or(RefusalReason::NoReplica);
+                (reason, NO_REPLICA_RETRY_AFTER)
+            }
         };
         Some(ForwardAnswer::NotRun {
             reason,
@@ -63,6 +71,28 @@
         })
     }
 
+    /// Why no replica of a service may get a request with the given placement.
+    fn unserved_reason(
+        &self,
+        now: TimePoint,
+        service: usize,
+        placement: &RequestPlacement,
+    ) -> RefusalReason {
+        let mut listed = self
+            .registry
+            .candidates(service, placement)
+            .filter(|(_, record)| record.listed)
+            .peekable();
+        if listed.peek().is_some() && listed.all(|(_, record)| record.evacuated) {
+            return RefusalReason::Evacuated;
+        }
+        let anywhere = RequestPlacement::default();
+        match self.registry.has_usable_replica(now, service, &anywhere) {
+            true => RefusalReason::NoHome,
+            false => RefusalReason::NoReplica,
+        }
+    }
+
     /// If the queues of too many services are too long for the request to meet its goal, returns
     /// the time after which the caller should retry.
     pub(super) fn overload_retry_after(
--- a/policy/src/forward/delegate/delegate_choice.rs
+++ b/policy/src/forward/delegate/delegate_choice.rs
@@ -24,6 +24,7 @@
     gather_plan::ShardGroup,
     GatherPlan, //
 };
+use crate::places::RequestPlacement;
 
 /// Connections to a replica that are planned for each delegate: one of its own data centre has a few
 /// gathers at once and keeps one more for hedges of the others.
@@ -44,7 +45,9 @@
             }
         }
         let services = self.target_services(name, &request.spec().target);
-        let plan = Rc::new(self.make_plan(&services));
+        // The plan is that of the route: homes of client accounts only exclude delegates of it.
+        let placement = RequestPlacement::new(&request.spec().homes, &[]);
+        let plan = Rc::new(self.make_plan(&services, &placement));
         let state = self.routes.entry(name.clone()).or_default();
         state.plan = Some((now, made_for, Rc::clone(&plan)));
         plan
@@ -58,7 +61,7 @@
 
     /// Groups `services` by the data centre of their nearest replicas, and chooses the delegates of each.
     /// Where each daemon may hold a connection to each replica, it gathers itself.
-    fn make_plan(&mut self, services: &[usize]) -> GatherPlan {
+    fn make_plan(&mut self, services: &[usize], placement: &RequestPlacement) -> GatherPlan {
         let states = services.iter().map(|index| &self.registry.services[*index]);
         let accepted = states.map(|state| state.max_connections).min();
         let shared = f64::from(accepted.unwrap_or(0)) * CONNECTION_SHARE;
@@ -70,7 +73,7 @@
         }
         let mut zones_of: Vec<SmallVec<[ZoneName; 4]>> = Vec::with_capacity(services.len());
         for service in services {
-            zones_of.push(self.replica_zones(*service));
+            zones_of.push(self.replica_zones(*service, placement));
         }
         let zones_seen: usize = zones_of.iter().map(SmallVec::len).sum();
         let zones_of_shard = (zones_seen as f64 / services.len() as f64).max(1.0);
@@ -110,13 +113,14 @@
         }
     }
 
-    /// The data centres in which a service has replicas.
-    fn replica_zones(&self, service: usize) -> SmallVec<[ZoneName; 4]> {
+    /// The data centres in which a service has replicas for requests with the given placement.
+    fn replica_zones(
+        &self,
+        service: usize,
+        placement: &RequestPlacement,
+    ) -> SmallVec<[ZoneName; 4]> {
         let mut zones: SmallVec<[ZoneName; 4]> = SmallVec::new();
-        for key in &self.registry.services[service].replicas {
-            let Some(record) = self.registry.records.get(key) else {
-                continue;
-            };
+        for (_, record) in self.registry.candidates(service, placement) {
             if record.is_wanted() && !zones.contains(&record.entry.zone) {
                 zones.push(record.entry.zone.clone());
             }
--- a/policy/src/forward/delegate/delegate_dispatch.rs
+++ b/policy/src/forward/delegate/delegate_dispatch.rs
@@ -85,8 +85,12 @@
         for to in self.delegates.asks_due(now, &group.delegates) {
             actions.push(ForwardAction::AskHelper { to, helpers: 0 });
         }
-        let tried = &request.helpers_tried;
-        let Some(delegate) = self.delegates.choose(now, &group.delegates, tried) else {
+        let (placement, tried) = (&request.placement, &request.helpers_tried);
+        let chosen = self
+            .delegates
+            .choose(now, placement, &group.delegates, tried);
+        // Without a delegate in a home region this daemon gathers the shards itself.
+        let Some(delegate) = chosen else {
             return false;
         };
         let allowed = request.max_attempts();
--- a/policy/src/forward/delegate/delegate_record.rs
+++ b/policy/src/forward/delegate/delegate_record.rs
@@ -4,6 +4,7 @@
 
 use schema::{
     CpuCapacity,
+    MemberBuild,
     TimePoint,
     ZoneName, //
 };
@@ -22,6 +23,8 @@
 pub(super) struct DelegateRecord {
     pub(super) zone: ZoneName,
     pub(super) capacity: CpuCapacity,
+    /// What its build understands.
+    pub(super) build: MemberBuild,
     /// Gathers of this daemon that it has.
     pub(super) in_flight: u32,
     /// Moving average of the time to its answers, in milliseconds.
@@ -37,10 +40,11 @@
 }
 
 impl DelegateRecord {
-    pub(super) fn new(zone: ZoneName, capacity: CpuCapacity) -> Self {
+    pub(super) fn new(zone: ZoneName, capacity: CpuCapacity, build: MemberBuild) -> Self {
         Self {
             zone,
             capacity,
+            build,
             in_flight: 0,
             latency_ms: None,
             in_doubt: false,
--- a/policy/src/forward/delegate/delegate_table.rs
+++ b/policy/src/forward/delegate/delegate_table.rs
@@ -29,6 +29,7 @@
     },
     delegate_record::DelegateRecord, //
 };
+use crate::places::RequestPlacement;
 
 /// Latency that is assumed of a daemon before its first answer: a part for the replicas, and the processor
 /// time of a gather.
@@ -81,11 +82,13 @@
         for peer in peers {
             let record = known.remove(&peer.daemon);
             let same = |record: &DelegateRecord| {
-                record.zone == peer.zone && record.capacity == peer.capacity
+                let (zone, build) = (record.zone == peer.zone, record.build == peer.build);
+                zone && build && record.capacity == peer.capacity
             };
             let record = record.filter(same);
-            let record =
-                record.unwrap_or_else(|| DelegateRecord::new(peer.zone.clone(), peer.capacity));
+            let record = record.unwrap_or_else(|| {
+                DelegateRecord::new(peer.zone.clone(), peer.capacity, peer.build)
+            });
             self.records.insert(peer.daemon.clone(), record);
         }
     }
@@ -129,16 +132,22 @@
         chosen.map(|(daemon, _)| daemon.clone()).collect()
     }
 
-    /// The cheaper of two usable daemons drawn from `delegates` without those in `tried`.
+    /// The cheaper of two usable daemons drawn from `delegates` that may get a request with the given
+    /// placement, without those in `tried`.
     pub(super) fn choose(
         &mut self,
         now: TimePoint,
+        placement: &RequestPlacement,
         delegates: &[DaemonName],
         tried: &[DaemonName],
     ) -> Option<DaemonName> {
         let usable = |name: &&DaemonName| {
             let record = self.records.get(*name);
-            record.is_some_and(|record| record.is_usable(now)) && !tried.contains(name)
+            let takes = |record: &DelegateRecord| {
+                let region = self.regions.get(&record.zone);
+                record.is_usable(now) && placement.allows_member(record.build, region)
+            };
+            record.is_some_and(takes) && !tried.contains(name)
         };
         let mut usable: SmallVec<[&DaemonName; 16]> = delegates.iter().filter(usable).collect();
         let first = match usable.len() {
--- a/policy/src/forward/forward_answer.rs
+++ b/policy/src/forward/forward_answer.rs
@@ -16,6 +16,11 @@
 pub enum RefusalReason {
     /// Too few of the services that the request needs have a usable replica.
     NoReplica,
+    /// Too few of the services that the request needs have a usable replica in one of its home regions,
+    /// though others have.
+    NoHome,
+    /// All data centres of a service that the request needs are evacuated.
+    Evacuated,
     /// The queues are too long for the request's latency goal, or no replica ran it before its
     /// deadline.
     Overload,
@@ -40,6 +45,8 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::NoReplica => "no_replica",
+            Self::NoHome => "no_home",
+            Self::Evacuated => "evacuated",
             Self::Overload => "overload",
             Self::Limited => "limited",
             Self::Resting => "resting",
--- a/policy/src/forward/forward_engine.rs
+++ b/policy/src/forward/forward_engine.rs
@@ -18,10 +18,9 @@
     ReplicaEntry,
     ReplicaName,
     RouteName,
-    RouteSpec,
     RouteTarget,
-    ServiceName,
-    TimePoint, //
+    TimePoint,
+    ZoneName, //
 };
 use smallvec::SmallVec;
 
@@ -51,7 +50,10 @@
     RequestIdentity,
     RouteIndex, //
 };
-use crate::places::RequestPlacement;
+use crate::places::{
+    RequestPlacement,
+    UnknownHomes, //
+};
 
 /// Margin before the latency goal for delays that the daemon can't measure: that of the caller's
 /// link (3 ms each way in the deployments, and as much again for a new connection) and the daemon's
@@ -109,6 +111,8 @@
     pub(super) intake: RelayIntake,
     /// Services with queued parts in which an attempt has just ended.
     pub(super) freed_services: Vec<usize>,
+    /// Home regions that the deployment does not have.
+    unknown_homes: UnknownHomes,
 }
 
 impl ForwardEngine {
@@ -132,6 +136,7 @@
             probes: CrashProbes::default(),
             crashes: CrashTable::default(),
             freed_services: Vec::new(),
+            unknown_homes: UnknownHomes::default(),
         }
     }
 
@@ -170,11 +175,9 @@
             ForwardEvent::ReplicaListed(entry) => self.list_replica(now, entry, actions),
             ForwardEvent::ReplicaUnlisted(name) => self.unlist_replica(now, &name, actions),
             ForwardEvent::ZoneEvacuated { zone, evacuated } => {
-                self.registry.set_evacuated(&zone, evacuated);
-                let event = LoggedEvent::ZoneEvacuated { zone, evacuated };
-                actions.push(ForwardAction::Log(event));
+                self.on_zone_evacuated(zone, evacuated, actions);
             }
-            ForwardEvent::TableApplied(index) => self.apply_table(&index),
+            ForwardEvent::TableApplied(index) => self.apply_table(&index, actions),
             ForwardEvent::DaemonsCounted { daemons, others } => {
                 self.registry.set_daemons(now, daemons, others);
             }
@@ -240,23 +243,33 @@
         self.crashes.sync_notices()
     }
 
-    /// The nearest usable replica of each service in the route table `index`. The daemon opens
+    /// The nearest usable replica of each service in the route table `index`, in the homes of its route. The daemon opens
     /// connections to these replicas before the first request needs them.
     pub fn nearest(&self, now: TimePoint, index: &RouteIndex) -> Vec<(ReplicaKey, SocketAddr)> {
         let routes = index.table.routes.iter();
         let own = routes.filter(|route| !self.gathers_elsewhere(&route.name));
-        let services = own.flat_map(RouteSpec::services);
-        let services: BTreeSet<&ServiceName> = services.collect();
-        let nearest = services
-            .into_iter()
-            .filter_map(|name| self.registry.nearest(now, name));
-        nearest.collect()
+        let mut nearest = BTreeMap::new();
+        for route in own {
+            let placement = RequestPlacement::new(&route.homes, &[]);
+            for name in route.services() {
+                nearest.extend(self.registry.nearest(now, name, &placement));
+            }
+        }
+        nearest.into_iter().collect()
     }
 
     /// Applies a new route table: forgets the state of removed routes and updates the connection
     /// limits of services.
-    fn apply_table(&mut self, index: &RouteIndex) {
+    fn apply_table(&mut self, index: &RouteIndex, actions: &mut Vec<ForwardAction>) {
         let table = &index.table;
+        let regions = self.registry.settings.regions.values().collect();
+        for (region, [routes, accounts]) in self.unknown_homes.apply_table(&regions, table) {
+            actions.push(ForwardAction::Log(LoggedEvent::HomeUnknown {
+                region,
+                routes,
+                accounts,
+            }));
+        }
         for (name, connections) in &table.services {
             let service = self.registry.index_of(name);
             self.registry.services[service].max_connections = *connections;
@@ -265,6 +278,25 @@
         self.routes.retain(|name, _| names.contains(name));
     }
 
+    /// Starts or ends the evacuation of a data centre. Parts that are queued for a replica are looked at again:
+    /// they go elsewhere, or have a choice again.
+    fn on_zone_evacuated(
+        &mut self,
+        zone: ZoneName,
+        evacuated: bool,
+        actions: &mut Vec<ForwardAction>,
+    ) {
+        // A replica that registers in an unknown data centre later is evacuated all the same.
+        let services = self.registry.set_evacuated(&zone, evacuated);
+        self.freed_services.extend(services);
+        if self.registry.knows_zone(&zone) {
+            let event = LoggedEvent::ZoneEvacuated { zone, evacuated };
+            actions.push(ForwardAction::Log(event));
+        } else if evacuated {
+            actions.push(ForwardAction::Log(LoggedEvent::ZoneUnknown { zone }));
+        }
+    }
+
     fn list_replica(
         &mut self,
         now: TimePoint,
--- a/policy/src/forward/helper_table.rs
+++ b/policy/src/forward/helper_table.rs
@@ -10,6 +10,7 @@
 
 use schema::{
     DaemonName,
+    MemberBuild,
     RegionName,
     TimePoint,
     ZoneName, //
@@ -22,6 +23,7 @@
     RelayPeer,
     RelayRefusal, //
 };
+use crate::places::RequestPlacement;
 
 /// Helpers among which a daemon divides its requests. One that fails leaves two.
 const HELPERS_WANTED: usize = 3;
@@ -50,6 +52,10 @@
 #[derive(Clone, Debug)]
 struct HelperRecord {
     zone: ZoneName,
+    /// Region of its data centre; `None` if it is unknown.
+    region: Option<RegionName>,
+    /// What its build understands.
+    build: MemberBuild,
     /// Distance class: same data centre, same region, another region.
     distance: usize,
     /// Spreads the choices of different daemons.
@@ -102,7 +108,9 @@
         let mut known = std::mem::take(&mut self.helpers);
         for peer in peers {
             let record = known.remove(&peer.daemon);
-            let record = record.filter(|record| record.zone == peer.zone);
+            let same =
+                |record: &HelperRecord| record.zone == peer.zone && record.build == peer.build;
+            let record = record.filter(same);
             let record = record.unwrap_or_else(|| self.new_record(&peer));
             self.helpers.insert(peer.daemon, record);
         }
@@ -136,8 +144,7 @@
     /// have been asked and may.
     pub(super) fn count(&self, now: TimePoint) -> usize {
         let helpers = self.helpers.values();
-        let used = |record: &&HelperRecord| record.offers(now) || record.asked_at.is_some();
-        helpers.filter(used).count()
+        helpers.filter(|record| record.is_used(now)).count()
     }
 
     /// Names of the helpers.
@@ -196,20 +203,51 @@
         }
     }
 
-    /// Whether an answer of a daemon is due that is worth waiting for: the first ones after the links
-    /// were lost, or after a helper was. Where nobody answers, requests don't wait for each question.
-    pub(super) fn is_waiting(&self, now: TimePoint) -> bool {
+    /// Whether an answer of a daemon that may get a request with the given placement is due and worth
+    /// waiting for: the first ones after the links were lost, or after a helper was. Where nobody answers,
+    /// requests don't wait for each question.
+    pub(super) fn is_waiting(&self, now: TimePoint, placement: &RequestPlacement) -> bool {
         let mut helpers = self.helpers.values();
         let promising = now < self.hopeful_until;
-        promising && helpers.any(|record| record.asked_at.is_some())
+        promising && helpers.any(|record| record.asked_at.is_some() && record.takes(placement))
     }
 
-    /// The helper that a request is sent to, other than those in `tried`.
-    pub(super) fn choose(&self, now: TimePoint, tried: &[DaemonName]) -> Option<DaemonName> {
+    /// The daemon that is asked for a request with home regions, since none of those that offer, or have been
+    /// asked, may get it: the search prefers near daemons, which may all be elsewhere.
+    pub(super) fn ask_at_home(
+        &mut self,
+        now: TimePoint,
+        placement: &RequestPlacement,
+    ) -> Option<DaemonName> {
+        if placement.is_anywhere() || self.next_ask == TimePoint::NEVER {
+            return None;
+        }
+        self.refill(now);
+        let takers = self.helpers.iter();
+        let takers = takers.filter(|(_, record)| record.takes(placement));
+        if takers.clone().any(|(_, record)| record.is_used(now)) || self.tokens < 1.0 {
+            return None;
+        }
+        let free = takers.filter(|(_, record)| !record.is_refusing(now));
+        let ranked = free.map(|(daemon, record)| (self.rank(record), daemon));
+        let daemon = ranked.min().map(|(_, daemon)| daemon.clone())?;
+        self.tokens -= 1.0;
+        self.helpers.get_mut(&daemon)?.asked_at = Some(now);
+        Some(daemon)
+    }
+
+    /// The helper that a request with the given placement is sent to, other than those in `tried`.
+    pub(super) fn choose(
+        &self,
+        now: TimePoint,
+        placement: &RequestPlacement,
+        tried: &[DaemonName],
+    ) -> Option<DaemonName> {
         let helpers = self.helpers.iter();
         let usable = helpers.filter(|(daemon, record)| {
             let free = record.offer.map_or(0, |(free, _)| free);
-            record.offers(now) && record.used < free && !tried.contains(daemon)
+            let may_take = record.takes(placement) && !tried.contains(daemon);
+            record.offers(now) && record.used < free && may_take
         });
         let costs = usable.map(|(daemon, record)| (record.cost(), daemon));
         let cheapest = costs.min_by(|(a, _), (b, _)| a.total_cmp(b));
@@ -251,19 +289,14 @@
 
     /// Asks as many daemons as are missing, the nearest first.
     fn ask_others(&mut self, now: TimePoint, asked: &mut Vec<DaemonName>) {
-        let refill = now.since(self.refilled_at).as_secs_f64() * ASKS_PER_SECOND;
-        self.tokens = (self.tokens + refill).min(ASKS_PER_SECOND);
-        self.refilled_at = now;
-        let is_used = |record: &&HelperRecord| record.offers(now) || record.asked_at.is_some();
+        self.refill(now);
         let missing = HELPERS_WANTED.saturating_sub(self.count(now));
         let mut candidates: Vec<(AskRank, DaemonName)> = Vec::new();
         for (daemon, record) in &self.helpers {
-            if is_used(&record) || record.is_refusing(now) {
+            if record.is_used(now) || record.is_refusing(now) {
                 continue;
             }
-            let stranded = self.stranded_in(&record.zone) >= STRANDED_ZONE_MIN;
-            let rank = (stranded, record.distance, record.hash);
-            candidates.push((rank, daemon.clone()));
+            candidates.push((self.rank(record), daemon.clone()));
         }
         candidates.sort_unstable();
         for (_, daemon) in candidates.into_iter().take(missing) {
@@ -278,6 +311,18 @@
         }
     }
 
+    /// Refills the bucket of the questions.
+    fn refill(&mut self, now: TimePoint) {
+        let refill = now.since(self.refilled_at).as_secs_f64() * ASKS_PER_SECOND;
+        self.tokens = (self.tokens + refill).min(ASKS_PER_SECOND);
+        self.refilled_at = now;
+    }
+
+    fn rank(&self, record: &HelperRecord) -> AskRank {
+        let stranded = self.stranded_in(&record.zone) >= STRANDED_ZONE_MIN;
+        (stranded, record.distance, record.hash)
+    }
+
     /// Daemons of a data centre that were stranded, too, when they were last asked.
     fn stranded_in(&self, zone: &ZoneName) -> usize {
         let records = self.helpers.values().filter(|record| record.zone == *zone);
@@ -295,6 +340,8 @@
         };
         HelperRecord {
             zone: peer.zone.clone(),
+            region: region.cloned(),
+            build: peer.build,
             distance,
             hash: xxh3_64_with_seed(peer.daemon.as_str().as_bytes(), self.seed),
             asked_at: None,
@@ -307,6 +354,16 @@
 }
 
 impl HelperRecord {
+    /// Whether it may get a request with the given placement.
+    fn takes(&self, placement: &RequestPlacement) -> bool {
+        placement.allows_member(self.build, self.region.as_ref())
+    }
+
+    /// Whether it offers to take requests, or has been asked.
+    fn is_used(&self, now: TimePoint) -> bool {
+        self.offers(now) || self.asked_at.is_some()
+    }
+
     fn offers(&self, now: TimePoint) -> bool {
         self.offer.is_some_and(|(_, until)| now < until)
     }
--- a/policy/src/forward/link_checks.rs
+++ b/policy/src/forward/link_checks.rs
@@ -79,10 +79,15 @@
             };
             // Replies may still come on open connections if only new ones fail.
             let waits = loss == LinkLoss::Unconnected && request.is_in_flight();
-            let has_helper = self.helpers.choose(now, &request.helpers_tried).is_some();
+            let (placement, tried) = (&request.placement, &request.helpers_tried);
+            let has_helper = self.helpers.choose(now, placement, tried).is_some();
             let is_direct = request.relay == RelayState::Direct;
-            if is_direct && has_helper && request.may_be_relayed() && !waits {
-                self.relay_request(now, &mut request, actions);
+            if is_direct && request.may_be_relayed() && !waits {
+                if has_helper {
+                    self.relay_request(now, &mut request, actions);
+                } else if let Some(to) = self.helpers.ask_at_home(now, placement) {
+                    self.ask_helper(now, to, actions);
+                }
             }
             self.requests.insert(query, request);
             self.complete_or_schedule(now, query, actions);
--- a/policy/src/forward/logged_event.rs
+++ b/policy/src/forward/logged_event.rs
@@ -7,6 +7,7 @@
     DaemonName,
     QueryId,
     QueryPrint,
+    RegionName,
     ReplicaName,
     RequestRate,
     ServiceName,
@@ -236,6 +237,20 @@
         /// Whether it is evacuated now.
         evacuated: bool,
     },
+    /// Routes or client accounts name a home region that the deployment does not have.
+    HomeUnknown {
+        /// The region.
+        region: RegionName,
+        /// Routes that name it.
+        routes: usize,
+        /// Client accounts that name it.
+        accounts: usize,
+    },
+    /// The operator has evacuated a data centre that the deployment does not have.
+    ZoneUnknown {
+        /// The data centre.
+        zone: ZoneName,
+    },
     /// A replica replied for the first time since its last failed connection.
     ReplicaRecovered {
         /// The replica that replied.
--- a/policy/src/forward/relay_dispatch.rs
+++ b/policy/src/forward/relay_dispatch.rs
@@ -201,7 +201,11 @@
             request.relay = RelayState::Ended(stranded_answer(request));
             return;
         }
-        let Some(helper) = self.helpers.choose(now, &request.helpers_tried) else {
+        let placement = &request.placement;
+        let Some(helper) = self.helpers.choose(now, placement, &request.helpers_tried) else {
+            if let Some(to) = self.helpers.ask_at_home(now, placement) {
+                self.ask_helper(now, to, actions);
+            }
             self.wait_for_helper(now, request, actions);
             return;
         };
@@ -264,7 +268,7 @@
             self.send_directly(now, request, actions);
             return;
         };
-        if self.helpers.is_waiting(now) && now < since + OFFER_WAIT_MAX {
+        if self.helpers.is_waiting(now, &request.placement) && now < since + OFFER_WAIT_MAX {
             request.relay = RelayState::Waiting {
                 since,
                 check_at: now + OFFER_RECHECK_INTERVAL,
--- a/policy/src/forward/relay_peer.rs
+++ b/policy/src/forward/relay_peer.rs
@@ -3,6 +3,7 @@
 use schema::{
     CpuCapacity,
     DaemonName,
+    MemberBuild,
     ZoneName, //
 };
 
@@ -15,4 +16,6 @@
     pub zone: ZoneName,
     /// Its processor capacity; 0 if it does not gather for others.
     pub capacity: CpuCapacity,
+    /// What its build understands.
+    pub build: MemberBuild,
 }
--- a/policy/src/forward/replica_choice.rs
+++ b/policy/src/forward/replica_choice.rs
@@ -181,16 +181,15 @@
         candidates.any(|(_, record)| record.is_usable(now))
     }
 
-    /// The usable replica of a service with the shortest round trip.
+    /// The usable replica of a service with the shortest round trip for requests with the given placement.
     pub(super) fn nearest(
         &self,
         now: TimePoint,
         service: &ServiceName,
+        placement: &RequestPlacement,
     ) -> Option<(ReplicaKey, SocketAddr)> {
-        let state = &self.services[*self.service_indexes.get(service)?];
-        let replicas = state.replicas.iter();
-        let records = replicas.filter_map(|key| Some((*key, self.records.get(key)?)));
-        let usable = records.filter(|(_, record)| record.is_usable(now));
+        let candidates = self.candidates(*self.service_indexes.get(service)?, placement);
+        let usable = candidates.filter(|(_, record)| record.is_usable(now));
         let nearest = usable.min_by(|(_, a), (_, b)| a.round_trip_ms.total_cmp(&b.round_trip_ms));
         nearest.map(|(key, record)| (key, record.entry.address))
     }
--- a/policy/src/forward/replica_registry.rs
+++ b/policy/src/forward/replica_registry.rs
@@ -209,21 +209,32 @@
         (replaced, true)
     }
 
-    /// Starts or ends the evacuation of a data centre. Attempts in flight go on.
-    pub(super) fn set_evacuated(&mut self, zone: &ZoneName, evacuated: bool) {
+    /// Starts or ends the evacuation of a data centre; returns the services of its replicas. Attempts in
+    /// flight go on.
+    pub(super) fn set_evacuated(&mut self, zone: &ZoneName, evacuated: bool) -> BTreeSet<usize> {
         match evacuated {
             true => self.evacuated.insert(zone.clone()),
             false => self.evacuated.remove(zone),
         };
         let records = self.records.values_mut();
+        let mut services = BTreeSet::new();
         for record in records.filter(|record| record.entry.zone == *zone) {
             record.evacuated = evacuated;
+            services.insert(record.service);
         }
+        services
     }
 
-    /// The data centres that are evacuated.
+    /// Whether the settings name a data centre, or a replica is in it.
+    pub(super) fn knows_zone(&self, zone: &ZoneName) -> bool {
+        let mut records = self.records.values();
+        self.settings.regions.contains_key(zone) || records.any(|record| record.entry.zone == *zone)
+    }
+
+    /// The known data centres that are evacuated.
     pub(super) fn evacuated_zones(&self) -> impl Iterator<Item = &ZoneName> {
-        self.evacuated.iter()
+        let evacuated = self.evacuated.iter();
+        evacuated.filter(|zone| self.knows_zone(zone))
     }
 
     /// The replicas of `service` to which a request with the given placement may be sent, whether they are
--- a/policy/src/places/request_placement.rs
+++ b/policy/src/places/request_placement.rs
@@ -1,6 +1,9 @@
 //! The regions in which a request may be served.
 
-use schema::RegionName;
+use schema::{
+    MemberBuild,
+    RegionName, //
+};
 use smallvec::SmallVec;
 
 /// The regions in which a request may be served.
@@ -26,6 +29,12 @@
         Self { homes }
     }
 
+    /// Whether a member of the given build in `region` may get the request, and with it its body. Older
+    /// builds don't know home regions, and would serve it anywhere.
+    pub fn allows_member(&self, build: MemberBuild, region: Option<&RegionName>) -> bool {
+        self.is_anywhere() || (build >= MemberBuild::SharesRates && self.allows(region))
+    }
+
     /// Whether any region is allowed.
     pub fn is_anywhere(&self) -> bool {
         self.homes.is_none()
--- a/policy/tests/forward_kit/mod.rs
+++ b/policy/tests/forward_kit/mod.rs
@@ -39,10 +39,12 @@
 };
 use rand_pcg::Pcg64Mcg;
 use schema::{
+    AccountSpec,
     AttemptId,
     BundleVersion,
     CpuCapacity,
     DaemonName,
+    MemberBuild,
     QueryId,
     ReplicaEntry,
     RouteSpec,
@@ -330,6 +332,7 @@
                 daemon: name_of(other),
                 zone: zones[other].parse().unwrap(),
                 capacity: CpuCapacity(120),
+                build: MemberBuild::SharesRates,
             });
             let peers = peers.collect();
             simulation.notify_engine(daemon, ForwardEvent::RelayPeersListed(peers));
@@ -337,6 +340,32 @@
         simulation
     }
 
+    /// Has all daemons take `old` for members of an older build.
+    pub(crate) fn set_old_builds(&mut self, old: &[usize]) {
+        for daemon in 0..self.zones.len() {
+            let others = (0..self.zones.len()).filter(|other| *other != daemon);
+            let peers = others.map(|other| RelayPeer {
+                daemon: name_of(other),
+                zone: self.zones[other].parse().unwrap(),
+                capacity: CpuCapacity(120),
+                build: match old.contains(&other) {
+                    true => MemberBuild::Gathers,
+                    false => MemberBuild::SharesRates,
+                },
+            });
+            let peers = peers.collect();
+            self.notify_engine(daemon, ForwardEvent::RelayPeersListed(peers));
+        }
+    }
+
+    /// Starts or ends the evacuation of a data centre, as `daemons` see it.
+    pub(crate) fn evacuate(&mut self, daemons: &[usize], zone: &str, evacuated: bool) {
+        for daemon in daemons {
+            let zone = zone.parse().unwrap();
+            self.notify_engine(*daemon, ForwardEvent::ZoneEvacuated { zone, evacuated });
+        }
+    }
+
     /// Puts another route table in force at a daemon; its requests are of this table from now on.
     pub(crate) fn apply_table(&mut self, daemon: usize, table: RouteTable) {
         self.index = Arc::new(RouteIndex::new(table));
@@ -384,6 +413,17 @@
         daemon: usize,
         route: usize,
         time_left: Duration,
+    ) -> QueryId {
+        self.send_request_as(daemon, route, time_left, None)
+    }
+
+    /// Like [`Self::send_request`], as a caller with the given client account.
+    pub(crate) fn send_request_as(
+        &mut self,
+        daemon: usize,
+        route: usize,
+        time_left: Duration,
+        account: Option<Arc<AccountSpec>>,
     ) -> QueryId {
         self.next_query += 1;
         let query = QueryId(self.next_query);
@@ -394,7 +434,7 @@
             time_left: Some(time_left),
             identity: RequestIdentity::default(),
             shards: Vec::new(),
-            account: None,
+            account,
             terms: None,
         };
         self.calls.insert((daemon, query), call.clone());
--- a/schema/src/names.rs
+++ b/schema/src/names.rs
@@ -1,5 +1,5 @@
 //! Newtypes for names. Each holds validated text: not empty, of limited length, and printable ASCII
-//! without spaces. Names that operators choose for routes, services and client accounts may hold any
+//! without spaces. Names that operators choose for regions, routes, services and client accounts may hold any
 //! printable text.
 
 use std::{
@@ -83,7 +83,7 @@
 );
 define_name!(
     /// Name of a region, which contains data centres.
-    RegionName, "region name", 64
+    RegionName, "region name", 64, is_printable
 );
 define_name!(
     /// Name of a data centre.
