--- a/cli/src/cmd/status.rs
+++ b/cli/src/cmd/status.rs
@@ -69,6 +69,8 @@
     // Daemons with a lower bundle version.
     behind: Vec<String>,
     draining: Vec<String>,
+    // Data centres that at least one daemon has evacuated, with the daemons that have not.
+    evacuated: Vec<EvacuationReport>,
     quarantined: Vec<String>,
     store_down_at: Vec<String>,
     charges_waiting: u64,
@@ -76,6 +78,13 @@
     daemons: Vec<DaemonReport>,
 }
 
+// An evacuated data centre, and the daemons that don't know of it.
+#[derive(Serialize)]
+struct EvacuationReport {
+    zone: String,
+    behind: Vec<String>,
+}
+
 // The limit that a replica names, and one daemon's share of it.
 #[derive(Serialize)]
 struct LimitReport {
@@ -165,6 +174,12 @@
             .iter()
             .flat_map(|daemon| daemon.quarantined.clone()),
     );
+    let zones = sorted_unique(statuses.iter().flat_map(|daemon| daemon.evacuated.clone()));
+    let evacuated = zones.into_iter().map(|zone| EvacuationReport {
+        behind: names_where(&|daemon| !daemon.evacuated.contains(&zone)),
+        zone,
+    });
+    let evacuated = evacuated.collect();
     let mut limits = Vec::new();
     for daemon in &statuses {
         for limit in &daemon.limits {
@@ -182,6 +197,7 @@
         bundle_version: highest_version,
         behind,
         draining,
+        evacuated,
         quarantined,
         store_down_at,
         charges_waiting,
@@ -234,10 +250,22 @@
     print_list("store down at", &report.store_down_at)?;
     print_list("draining", &report.draining)?;
     print_list("quarantined", &report.quarantined)?;
+    print_evacuated(&report.evacuated)?;
     print_stranded(&report.daemons)?;
     print_limits(&report.limits)
 }
 
+fn print_evacuated(evacuated: &[EvacuationReport]) -> Result<(), CliError> {
+    if evacuated.is_empty() {
+        return Ok(());
+    }
+    let mut table = new_table(&["evacuated", "not yet at"]);
+    for report in evacuated {
+        table.add_row([report.zone.clone(), report.behind.join(" ")]);
+    }
+    print_table(&table)
+}
+
 fn print_stranded(daemons: &[DaemonReport]) -> Result<(), CliError> {
     let statuses = daemons.iter().filter_map(|daemon| daemon.status.as_ref());
     let stranded = statuses.filter_map(|status| Some((status, status.stranded.as_ref()?)));
--- a/daemon/src/forward/forward_gauges.rs
+++ b/daemon/src/forward/forward_gauges.rs
@@ -42,6 +42,7 @@
             .stranded
             .set(i64::from(status.lost_links.is_some()));
         self.metrics.relayed.set(gauge(status.relayed));
+        self.metrics.evacuated.set(gauge(status.evacuated.len()));
         self.metrics.waiting_parts.set(gauge(status.waiting));
         self.metrics.quarantined.set(gauge(status.quarantined));
     }
--- a/daemon/src/forward/forward_loop.rs
+++ b/daemon/src/forward/forward_loop.rs
@@ -412,6 +412,17 @@
                 self.metrics.delegations.get_or_create(&label).inc();
                 Some(query)
             }
+            LoggedEvent::ZoneEvacuated { evacuated, .. } => {
+                let change = if *evacuated { "started" } else { "ended" };
+                let label = [("change", change)];
+                self.metrics.evacuations.get_or_create(&label).inc();
+                None
+            }
+            LoggedEvent::ZoneUnknown { .. } => {
+                let label = [("change", "unknown")];
+                self.metrics.evacuations.get_or_create(&label).inc();
+                None
+            }
             LoggedEvent::ReplicaCrashed { .. } => {
                 self.metrics.crashes.inc();
                 None
--- a/daemon/src/forward/forward_loop_status.rs
+++ b/daemon/src/forward/forward_loop_status.rs
@@ -6,7 +6,8 @@
     DaemonName,
     ReplicaName,
     RequestRate,
-    TimePoint, //
+    TimePoint,
+    ZoneName, //
 };
 
 use super::forward_loop::ForwardLoop;
@@ -54,6 +55,7 @@
                 helpers: status.helpers.iter().map(DaemonName::to_string).collect(),
             }),
             relayed: status.relayed as u64,
+            evacuated: status.evacuated.iter().map(ZoneName::to_string).collect(),
             draining: status.leaving.iter().map(ReplicaName::to_string).collect(),
             resting: status.resting.iter().map(rest_status).collect(),
             limits: status.limits.into_iter().map(limit_status).collect(),
--- a/daemon/src/forward/forward_metrics.rs
+++ b/daemon/src/forward/forward_metrics.rs
@@ -62,6 +62,10 @@
     pub(super) limits: Family<DynamicLabel, Gauge<f64, AtomicU64>>,
     /// This daemon's share of each limit, in requests a second.
     pub(super) limit_shares: Family<DynamicLabel, Gauge<f64, AtomicU64>>,
+    /// Number of data centres that are evacuated.
+    pub(super) evacuated: Gauge,
+    /// Starts and ends of evacuations.
+    pub(super) evacuations: Family<StaticLabel, Counter>,
     /// Whether this daemon has lost its links to all replicas (1) or not (0).
     pub(super) stranded: Gauge,
     /// Health checks of replicas, by outcome.
@@ -120,6 +124,8 @@
             held_back: Family::default(),
             limits: Family::default(),
             limit_shares: Family::default(),
+            evacuated: Gauge::default(),
+            evacuations: Family::default(),
             stranded: Gauge::default(),
             health_checks: Family::default(),
             relays: Family::default(),
@@ -159,6 +165,16 @@
             Unit::Seconds,
             all.latency.clone(),
         );
+        registry.register(
+            "forward_evacuated",
+            "Data centres that are evacuated",
+            all.evacuated.clone(),
+        );
+        registry.register(
+            "forward_evacuations",
+            "Starts and ends of evacuations by change",
+            all.evacuations.clone(),
+        );
         registry.register(
             "forward_stranded",
             "Whether the links to all replicas are lost",
--- a/daemon/src/loop_status.rs
+++ b/daemon/src/loop_status.rs
@@ -59,11 +59,12 @@
                 .as_ref()
                 .map_or(0, |ledger| ledger.waiting_count()),
             store: store_label(self.store_up).into(),
-            // Limits and rests of upstreams, and relays between daemons, exist on the platform only.
+            // Limits and rests of upstreams, relays between daemons and evacuations exist on the platform only.
             limits: Vec::new(),
             resting: Vec::new(),
             stranded: None,
             relayed: 0,
+            evacuated: Vec::new(),
         }
     }
 }
--- a/daemon/src/status_body.rs
+++ b/daemon/src/status_body.rs
@@ -53,6 +53,8 @@
     pub stranded: Option<StrandedStatus>,
     /// Requests of other daemons in flight here.
     pub relayed: u64,
+    /// Data centres that are evacuated.
+    pub evacuated: Vec<String>,
 }
 
 /// The rest that a replica wants.
