--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -207,6 +207,10 @@
     /// The room for request bytes of a port has run out.
     REQUEST_BYTES_SHORT = "E7072" Warning
         "room for request bytes has run out; refusing requests and dropping those without progress";
+    /// A home region that the settings file does not name.
+    HOME_UNKNOWN = "E7060" Warning "home region is no region of this deployment; it matches no replica";
+    /// An evacuation of a data centre that the settings file does not name.
+    ZONE_UNKNOWN = "E7061" Warning "evacuation of an unknown data centre; it is ignored";
 }
 
 /// Logs an event of the catalogue with its code and the given fields:
--- a/daemon/src/forward/forward_gauges.rs
+++ b/daemon/src/forward/forward_gauges.rs
@@ -64,6 +64,7 @@
         let returned = i64::try_from(status.quota_returned).unwrap_or(i64::MAX);
         self.metrics.quota_returned.set(returned);
         self.metrics.relayed.set(gauge(status.relayed));
+        self.metrics.evacuated.set(gauge(status.evacuated.len()));
         self.metrics.waiting_parts.set(gauge(status.waiting));
         self.metrics.quarantined.set(gauge(status.quarantined));
     }
--- a/daemon/src/forward/forward_log.rs
+++ b/daemon/src/forward/forward_log.rs
@@ -360,6 +360,17 @@
                 log_event!(logger, events::ZONE_READMITTED, "zone" => %zone);
             }
             LoggedEvent::RatesChanged(event) => write_rate_event(logger, event),
+            LoggedEvent::HomeUnknown {
+                region,
+                routes,
+                accounts,
+            } => log_event!(
+                logger, events::HOME_UNKNOWN, "region" => %region, "routes" => routes,
+                "accounts" => accounts,
+            ),
+            LoggedEvent::ZoneUnknown { zone } => {
+                log_event!(logger, events::ZONE_UNKNOWN, "zone" => %zone);
+            }
             LoggedEvent::ReplicaRecovered { replica, service } => log_event!(
                 logger, events::REPLICA_RECOVERED, "replica" => %replica, "service" => %service,
             ),
--- a/daemon/src/forward/forward_metrics.rs
+++ b/daemon/src/forward/forward_metrics.rs
@@ -85,6 +85,10 @@
     pub(super) rate_counts: Family<StaticLabel, Counter>,
     /// Writes of the record of the fleet, by outcome.
     pub(super) fleet_writes: Family<StaticLabel, Counter>,
+    /// Number of data centres that are evacuated.
+    pub(super) evacuated: Gauge,
+    /// Starts and ends of evacuations.
+    pub(super) evacuations: Family<StaticLabel, Counter>,
     /// Whether this daemon has lost its links to all replicas (1) or not (0).
     pub(super) stranded: Gauge,
     /// Health checks of replicas, by outcome.
@@ -150,6 +154,8 @@
             rate_authority: Gauge::default(),
             rate_counts: Family::default(),
             fleet_writes: Family::default(),
+            evacuated: Gauge::default(),
+            evacuations: Family::default(),
             stranded: Gauge::default(),
             health_checks: Family::default(),
             relays: Family::default(),
@@ -199,6 +205,16 @@
             Unit::Seconds,
             all.latency.clone(),
         );
+        registry.register(
+            "forward_evacuated",
+            "Data centres that are evacuated",
+            all.evacuated.clone(),
+        );
+        registry.register(
+            "forward_evacuations",
+            "Starts and ends of evacuations by change",
+            all.evacuations.clone(),
+        );
         registry.register(
             "forward_stranded",
             "Whether the links to all replicas are lost",
