Bound the age of the directory by revokeMs, and split the tests of accounts

A deployment may name a shorter bound for revoked keys than configApplyMs. Host, caller and identity of a request that arrives are methods of it now, and the refusals before the first send are in one file.

--- a/daemon/src/forward/account_log.rs
+++ b/daemon/src/forward/account_log.rs
@@ -17,10 +17,6 @@
     arrived_request::ArrivedRequest,
     forward_log::millis,
     forward_loop::ForwardLoop,
-    forward_requests::{
-        caller_address,
-        request_host, //
-    },
     pending_request::PendingRequest,
     request_access::AccessRefusal, //
 };
@@ -54,7 +50,7 @@
             );
             return;
         };
-        let host = request_host(arrived);
+        let host = arrived.host();
         let index = self.route_index.as_ref();
         let route = index.and_then(|index| {
             let route = index.find(host, head.uri.path())?;
@@ -64,7 +60,7 @@
         log_event!(
             logger, events::KEY_REFUSED,
             "request" => id.unwrap_or(""), "reason" => fault.as_str(), "route" => route,
-            "host" => host, "path" => head.uri.path(), "caller" => %caller_address(head),
+            "host" => host, "path" => head.uri.path(), "caller" => %arrived.caller(),
             "relayed_by" => relayed_by, "table" => table,
             "directory_age_ms" => self.feed.age(now).map(millis),
         );
--- a/daemon/src/forward/arrived_request.rs
+++ b/daemon/src/forward/arrived_request.rs
@@ -1,10 +1,22 @@
 //! A request that the caller port has read and passes to the forwarding loop.
 
-use std::time::Duration;
+use std::{
+    net::{
+        IpAddr,
+        Ipv4Addr, //
+    },
+    time::Duration, //
+};
 
 use bytes::Bytes;
-use http::request;
-use policy::forward::RelayTerms;
+use http::{
+    header,
+    request, //
+};
+use policy::forward::{
+    RelayTerms,
+    RequestIdentity, //
+};
 use schema::{
     BundleVersion,
     DaemonName,
@@ -13,6 +25,7 @@
 use tokio::sync::oneshot;
 
 use super::caller_reply::CallerReply;
+use crate::caller_port::CallerAddress;
 
 /// The daemon that has relayed a request.
 #[derive(Debug)]
@@ -43,3 +56,30 @@
     /// Sends the reply back to the handler that holds the connection.
     pub(super) reply_sender: oneshot::Sender<CallerReply>,
 }
+
+impl ArrivedRequest {
+    /// The host that it names, which may include a port; empty without one.
+    pub(super) fn host(&self) -> &str {
+        let host = self.head.headers.get(header::HOST);
+        let host = host.and_then(|host| std::str::from_utf8(host.as_bytes()).ok());
+        host.or_else(|| self.head.uri.host()).unwrap_or("")
+    }
+
+    /// Address of the caller.
+    pub(super) fn caller(&self) -> IpAddr {
+        let caller = self.head.extensions.get::<CallerAddress>();
+        caller.map_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED), |caller| caller.0)
+    }
+
+    /// By what it is recognised when its caller sends it again.
+    pub(super) fn identity(&self) -> RequestIdentity {
+        let target = self.head.uri.path_and_query();
+        RequestIdentity::of(
+            self.head.method.as_str(),
+            self.host(),
+            target.map_or("/", |target| target.as_str()),
+            &self.body,
+            self.caller(),
+        )
+    }
+}
--- a/daemon/src/forward/forward_requests.rs
+++ b/daemon/src/forward/forward_requests.rs
@@ -1,21 +1,12 @@
 //! Handling of callers' requests in the forwarding loop: arrival, replies of replicas, answers.
 
 use std::{
-    net::{
-        IpAddr,
-        Ipv4Addr, //
-    },
     rc::Rc,
     time::Duration, //
 };
 
 use compact_str::CompactString;
-use http::{
-    header,
-    request,
-    HeaderValue,
-    StatusCode, //
-};
+use http::StatusCode;
 use platform::{
     request_id,
     set_key_challenge,
@@ -29,8 +20,7 @@
     ForwardEvent,
     RefusalReason,
     RelayRefusal,
-    ReplicaKey,
-    RequestIdentity, //
+    ReplicaKey, //
 };
 use schema::{
     peer::ShardStamp,
@@ -64,7 +54,6 @@
     request_access::AccessRefusal, //
 };
 use crate::{
-    caller_port::CallerAddress,
     events,
     log_event, //
 };
@@ -97,7 +86,7 @@
             self.refuse(now, arrived, EarlyRefusal::Starting);
             return;
         };
-        let Some(route) = index.find(request_host(&arrived), arrived.head.uri.path()) else {
+        let Some(route) = index.find(arrived.host(), arrived.head.uri.path()) else {
             self.refuse(now, arrived, EarlyRefusal::NoRoute);
             return;
         };
@@ -114,8 +103,8 @@
             return;
         };
         let caller_timeout = time_left(&arrived.head.headers);
-        let identity = request_identity(&arrived);
-        let caller = caller_address(&arrived.head);
+        let identity = arrived.identity();
+        let caller = arrived.caller();
         let account = access.account.clone();
         let template = RequestTemplate::new(arrived.head, arrived.body, id, &access);
         let relay = arrived.relayed;
@@ -317,7 +306,7 @@
         log_event!(
             self.log.logger, events::REQUEST_REFUSED,
             "request" => id.and_then(|id| id.to_str().ok()).unwrap_or(""), "reason" => reason,
-            "host" => request_host(arrived), "path" => arrived.head.uri.path(),
+            "host" => arrived.host(), "path" => arrived.head.uri.path(),
             "table" => self.feed.version().map_or(0, |version| version.0),
         );
     }
@@ -375,30 +364,3 @@
         ..CallerReply::default()
     }
 }
-
-fn request_identity(arrived: &ArrivedRequest) -> RequestIdentity {
-    let head = &arrived.head;
-    let target = head.uri.path_and_query();
-    RequestIdentity::of(
-        head.method.as_str(),
-        request_host(arrived),
-        target.map_or("/", |target| target.as_str()),
-        &arrived.body,
-        caller_address(head),
-    )
-}
-
-pub(super) fn caller_address(head: &request::Parts) -> IpAddr {
-    let caller = head.extensions.get::<CallerAddress>();
-    caller.map_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED), |caller| caller.0)
-}
-
-pub(super) fn request_host(arrived: &ArrivedRequest) -> &str {
-    let host = arrived
-        .head
-        .headers
-        .get(header::HOST)
-        .map(HeaderValue::as_bytes);
-    let host = host.and_then(|host| std::str::from_utf8(host).ok());
-    host.or_else(|| arrived.head.uri.host()).unwrap_or("")
-}
--- a/daemon/src/forward/run_forward.rs
+++ b/daemon/src/forward/run_forward.rs
@@ -258,7 +258,8 @@
         age_max: boot
             .drain_bound
             .min(boot.config_bound)
-            .min(boot.evacuation_bound.unwrap_or(Duration::MAX)),
+            .min(boot.evacuation_bound.unwrap_or(Duration::MAX))
+            .min(boot.revocation_bound.unwrap_or(Duration::MAX)),
         settle_period: boot.settle_period,
     };
     let now = clock.now();
--- a/daemon/tests/forward_accounts.rs
+++ b/daemon/tests/forward_accounts.rs
@@ -2,122 +2,33 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod account_kit;
 mod forward_cluster;
 
-use std::{
-    net::SocketAddr,
-    thread::{
-        self,
-        sleep,
-        JoinHandle, //
-    },
-    time::Duration, //
+use std::thread::{
+    self,
+    JoinHandle, //
 };
 
-use forward_cluster::{
-    wait_for,
-    DaemonProcess,
-    ForwardCluster, //
+use account_kit::{
+    bearer,
+    check_account,
+    check_secrecy,
+    configure,
+    get_with,
+    routes,
+    start,
+    FORGED,
+    KEY,
+    ODD_KEY,
+    OTHER_KEY, //
 };
+use forward_cluster::wait_for;
 use platform_standin::{
-    account_config_text,
-    AccountText,
-    CallerReply,
-    FakeReplica,
     KeyedCaller,
-    LinkFault,
-    LinkProxy,
-    ReplicaFault,
-    RouteText,
     StoreFault, //
 };
-use serde_json::{
-    json,
-    Value, //
-};
-
-const KEY: &str = "s3cret-acme";
-const OTHER_KEY: &str = "s3cret-other";
-const ODD_KEY: &str = "s3cret ключ,;=\"%é";
-/// What the caller of a request without an account sends in its place.
-const FORGED: (&str, &[u8]) = ("Tenant", b"other");
-/// Time for which a replica runs each request while another one waits.
-const SLOW_RUN: Duration = Duration::from_secs(3);
-
-fn accounts() -> Value {
-    json!([
-        AccountText::new("acme", &[KEY]).to_json(),
-        AccountText::new("other", &[OTHER_KEY, ODD_KEY]).to_json(),
-    ])
-}
-
-fn routes() -> [RouteText; 3] {
-    [
-        RouteText::single("/one/", "s1"),
-        RouteText::single("/open/", "s1"),
-        RouteText {
-            services: vec!["s1", "s2"],
-            ..RouteText::single("/all/", "s1")
-        },
-    ]
-}
-
-fn configure(cluster: &ForwardCluster, version: u64, routes: &[RouteText], tenants: Value) {
-    let text = account_config_text(version, routes, &["/open/"], tenants);
-    cluster.store.put("op/config", text);
-}
-
-/// A cluster with accounts, and a replica of each of two services.
-fn start() -> (ForwardCluster, [FakeReplica; 2]) {
-    let cluster = ForwardCluster::start(&[]);
-    configure(&cluster, 2, &routes(), accounts());
-    let replicas =
-        ["s1", "s2"].map(|s| FakeReplica::start(&cluster.store, s, &format!("i-{s}"), "z1"));
-    (cluster, replicas)
-}
-
-fn bearer(key: &str) -> Vec<u8> {
-    [b"Bearer ", key.as_bytes()].concat()
-}
-
-/// Sends a request with `key` on a new connection.
-fn get_with(address: SocketAddr, path: &str, id: &str, key: &str) -> CallerReply {
-    let headers: [(&str, &[u8]); 1] = [("Authorization", &bearer(key))];
-    KeyedCaller::connect(address).get(path, id, &headers)
-}
-
-/// The values of the header `name` that replicas got with the request `id`, one list for each send.
-fn sent_headers(replicas: &[&FakeReplica], id: &str, name: &str) -> Vec<Vec<String>> {
-    let heads = replicas.iter().flat_map(|replica| replica.heads());
-    let heads = heads.filter(|(sent, _)| sent == id);
-    let lists = heads.map(|(_, headers)| {
-        let values = headers.get_all(name).iter();
-        let texts = values.map(|value| String::from_utf8_lossy(value.as_bytes()).into_owned());
-        texts.collect()
-    });
-    lists.collect()
-}
-
-/// Checks that each replica that got the request `id` was told `account` and no key.
-fn check_account(replicas: &[&FakeReplica], id: &str, account: Option<&str>) {
-    let tenants = sent_headers(replicas, id, "tenant");
-    assert!(!tenants.is_empty(), "{id} was not sent");
-    for tenant in tenants {
-        assert_eq!(tenant, Vec::from_iter(account), "{id}");
-    }
-    for keys in sent_headers(replicas, id, "authorization") {
-        assert_eq!(keys, [""; 0], "{id}");
-    }
-}
-
-/// Checks that nothing that operators see holds a key.
-fn check_secrecy(daemons: &[&DaemonProcess]) {
-    for daemon in daemons {
-        for text in [daemon.log(), daemon.metrics(), daemon.status()] {
-            assert!(!text.is_empty() && !text.contains("s3cret"), "{text}");
-        }
-    }
-}
+use serde_json::json;
 
 /// Guards against an API key that reaches replicas, and against a caller that names an account itself, also by
 /// having the daemon's header removed as one of the connection.
@@ -211,124 +122,6 @@
     check_secrecy(&[&daemon]);
 }
 
-/// Guards against a revoked key that goes on being served on an open connection, and against another key that
-/// is refused with it.
-#[test]
-fn a_revoked_key_is_refused_on_an_open_connection() {
-    let (mut cluster, _replicas) = start();
-    let daemon = cluster.ready_daemon("z1");
-    let mut caller = KeyedCaller::connect(daemon.callers());
-    let key = bearer(KEY);
-    let headers: [(&str, &[u8]); 1] = [("Authorization", &key)];
-    assert_eq!(caller.get("/one/x", "before", &headers).status, 200);
-    let left = json!([
-        AccountText::new("acme", &["s3cret-new"]).to_json(),
-        AccountText::new("other", &[OTHER_KEY]).to_json(),
-    ]);
-    configure(&cluster, 3, &routes(), left);
-    let mut number = 0;
-    wait_for("the key is refused", || {
-        number += 1;
-        caller
-            .get("/one/x", &format!("open-{number}"), &headers)
-            .status
-            == 401
-    });
-    for number in 0..20 {
-        let reply = caller.get("/one/x", &format!("after-{number}"), &headers);
-        assert_eq!(reply.status, 401);
-    }
-    for (id, key) in [("new", "s3cret-new"), ("other", OTHER_KEY)] {
-        assert_eq!(get_with(daemon.callers(), "/one/x", id, key).status, 200);
-    }
-    check_secrecy(&[&daemon]);
-}
-
-/// Requests that a daemon sends to a replica at once at least, however few connections the replica accepts.
-const RUNNING: [&str; 2] = ["running-1", "running-2"];
-
-/// A daemon that may have few requests at its replica, which is slow, so that further requests wait.
-fn start_narrow(tenants: Value) -> (ForwardCluster, DaemonProcess, FakeReplica, RouteText) {
-    let narrow = RouteText {
-        connections: 1,
-        timeout_ms: 20_000,
-        goal_ms: 20_000,
-        ..RouteText::single("/one/", "s1")
-    };
-    let mut cluster = ForwardCluster::start(&[]);
-    configure(&cluster, 2, std::slice::from_ref(&narrow), tenants);
-    let replica = FakeReplica::start(&cluster.store, "s1", "i-1", "z1");
-    let daemon = cluster.ready_daemon("z1");
-    replica.set_fault(ReplicaFault::Slow(SLOW_RUN));
-    (cluster, daemon, replica, narrow)
-}
-
-/// Sends a request in a thread of its own, with `key` if that is not empty.
-fn send(daemon: &DaemonProcess, id: &'static str, key: &'static str) -> JoinHandle<CallerReply> {
-    let address = daemon.callers();
-    let reply = thread::spawn(move || match key {
-        "" => KeyedCaller::connect(address).get("/one/x", id, &[FORGED]),
-        key => get_with(address, "/one/x", id, key),
-    });
-    sleep(Duration::from_millis(150));
-    reply
-}
-
-/// Sends as many requests as the replica gets at once.
-fn fill(
-    daemon: &DaemonProcess,
-    replica: &FakeReplica,
-    key: &'static str,
-) -> [JoinHandle<CallerReply>; 2] {
-    let replies = RUNNING.map(|id| send(daemon, id, key));
-    wait_for("the first requests run", || replica.runs() == 2);
-    replies
-}
-
-/// Guards against a revoked key whose requests are sent because they were waiting, and against the loss of a
-/// request that a replica has.
-#[test]
-fn a_waiting_request_with_a_revoked_key_is_refused() {
-    let (cluster, daemon, replica, route) = start_narrow(accounts());
-    let running = fill(&daemon, &replica, KEY);
-    let revoked = send(&daemon, "revoked", KEY);
-    let waiting = send(&daemon, "waiting", OTHER_KEY);
-    let left = json!([AccountText::new("other", &[OTHER_KEY]).to_json()]);
-    configure(&cluster, 3, &[route], left);
-    let reply = revoked.join().unwrap();
-    let log = daemon.log();
-    assert_eq!(reply.status, 401, "{log}");
-    assert!(log.contains("E7042"), "{log}");
-    for reply in running {
-        assert_eq!(reply.join().unwrap().status, 200);
-    }
-    assert_eq!(waiting.join().unwrap().status, 200);
-    assert_eq!(replica.runs_of("revoked"), 0);
-    check_account(&[&replica], "waiting", Some("other"));
-    check_secrecy(&[&daemon]);
-}
-
-/// Guards against the key or the forged account of a request that came before the first account was
-/// configured, and reaches a replica after it.
-#[test]
-fn waiting_requests_lose_their_key_with_the_first_account() {
-    let (cluster, daemon, replica, route) = start_narrow(json!([]));
-    let running = fill(&daemon, &replica, "");
-    // Without accounts, headers are passed on as they are.
-    let passed = sent_headers(&[&replica], RUNNING[0], "tenant");
-    assert_eq!(passed, [["other"]]);
-    let keyed = send(&daemon, "keyed", KEY);
-    let keyless = send(&daemon, "keyless", "");
-    configure(&cluster, 3, &[route], accounts());
-    assert_eq!(keyless.join().unwrap().status, 401, "{}", daemon.log());
-    for reply in running {
-        assert_eq!(reply.join().unwrap().status, 200);
-    }
-    assert_eq!(keyed.join().unwrap().status, 200, "{}", daemon.log());
-    check_account(&[&replica], "keyed", Some("acme"));
-    assert_eq!(replica.runs_of("keyless"), 0);
-}
-
 /// Guards against memory that grows with each wrong key, and against a daemon that serves nobody beside them.
 #[test]
 fn wrong_keys_cost_no_memory() {
@@ -390,97 +183,3 @@
         assert_eq!(reply.status, 503, "{reply:?}");
     }
 }
-
-/// Guards against a key that reaches another daemon or a replica by way of a delegate, and against an account
-/// that is lost or forged on that way.
-#[test]
-fn delegates_are_told_the_account_and_no_key() {
-    const SHARDS: [&str; 4] = ["s1", "s2", "s3", "s4"];
-    const DAEMONS: usize = 6;
-    let gather = RouteText {
-        services: SHARDS.to_vec(),
-        min_share: 0.7,
-        connections: 5,
-        ..RouteText::single("/all/", "s1")
-    };
-    let open = RouteText {
-        prefix: "/open/",
-        ..gather.clone()
-    };
-    let mut cluster = ForwardCluster::start(&[]);
-    configure(&cluster, 2, &[gather, open], accounts());
-    let replicas = SHARDS.map(|s| FakeReplica::start(&cluster.store, s, &format!("i-{s}"), "z1"));
-    let replicas = replicas.each_ref();
-    let daemons: Vec<DaemonProcess> = (0..DAEMONS).map(|_| cluster.ready_daemon("z1")).collect();
-    let taken = || {
-        let metrics = daemons.iter().map(DaemonProcess::metrics);
-        let counts = metrics.map(|metrics| {
-            let mut lines = metrics.lines();
-            let name = "pollentally_forward_relays_taken_total ";
-            let count = lines.find_map(|line| line.strip_prefix(name));
-            count.map_or(0, |count| count.parse::<u64>().unwrap())
-        });
-        counts.sum::<u64>()
-    };
-    let key = bearer(KEY);
-    let keyed: [(&str, &[u8]); 2] = [FORGED, ("Authorization", &key)];
-    let mut round = 0;
-    wait_for("most daemons have others gather for them", || {
-        round += 1;
-        let before = taken();
-        for (number, daemon) in daemons.iter().enumerate() {
-            let id = format!("keyed-{round}-{number}");
-            let mut caller = KeyedCaller::connect(daemon.callers());
-            if caller.get("/all/x", &id, &keyed).status == 200 {
-                check_account(&replicas, &id, Some("acme"));
-            }
-            let id = format!("public-{round}-{number}");
-            if caller.get("/open/x", &id, &[FORGED]).status == 200 {
-                check_account(&replicas, &id, None);
-            }
-        }
-        taken() >= before + 6
-    });
-    check_secrecy(&daemons.iter().collect::<Vec<_>>());
-}
-
-/// Guards against the same by way of a daemon that serves the requests of one that has lost its links.
-#[test]
-fn relays_are_told_the_account_and_no_key() {
-    let (mut cluster, replicas) = start();
-    let proxies = replicas.each_ref().map(|replica| {
-        let proxy = LinkProxy::start(replica.address());
-        replica.register_at(proxy.address(), &cluster.store, "ready");
-        proxy
-    });
-    let daemons = [cluster.ready_daemon("z1"), cluster.ready_daemon("z1")];
-    for daemon in &daemons {
-        wait_for("the daemons know each other", || {
-            daemon.metrics().contains("pollentally_forward_daemons 2")
-        });
-    }
-    for proxy in &proxies {
-        proxy.set_fault_of(daemons[1].pid(), LinkFault::None);
-        proxy.set_fault_of(daemons[0].pid(), LinkFault::Silent);
-    }
-    let key = bearer(KEY);
-    let keyed: [(&str, &[u8]); 2] = [FORGED, ("Authorization", &key)];
-    let replicas = replicas.each_ref();
-    let mut caller = KeyedCaller::connect(daemons[0].callers());
-    let mut number = 0;
-    wait_for("requests are relayed", || {
-        number += 1;
-        let id = format!("relay-{number}");
-        caller.get("/one/x", &id, &keyed).status == 200
-    });
-    let before = sent_headers(&replicas, "relayed", "tenant").len();
-    let reply = caller.get("/one/x", "relayed", &keyed);
-    assert_eq!((before, reply.status), (0, 200), "{}", daemons[0].log());
-    check_account(&replicas, "relayed", Some("acme"));
-    let reply = caller.get("/open/x", "public", &[FORGED]);
-    assert_eq!(reply.status, 200, "{}", daemons[0].log());
-    check_account(&replicas, "public", None);
-    assert_eq!(caller.get("/one/x", "refused", &[FORGED]).status, 401);
-    assert!(daemons[0].log().contains("E7026"));
-    check_secrecy(&[&daemons[0], &daemons[1]]);
-}
--- a/policy/src/forward/arrival_refusal.rs
+++ b/policy/src/forward/arrival_refusal.rs
@@ -12,6 +12,7 @@
     },
     request_completion::HELD_RETRY_AFTER_MIN,
     request_part::PartState,
+    ForwardAction,
     ForwardAnswer,
     ForwardEngine,
     RefusalReason, //
@@ -28,6 +29,33 @@
 const NO_REPLICA_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 impl ForwardEngine {
+    /// Answers a request at once for which nothing has been sent, if the replicas can't serve it in time;
+    /// returns whether it did. One that goes to another daemon is refused there.
+    pub(super) fn refuse_unsendable(
+        &mut self,
+        now: TimePoint,
+        request: &PendingRequest,
+        actions: &mut Vec<ForwardAction>,
+    ) -> bool {
+        if self.reach.lost().is_some() && request.may_be_relayed() {
+            return false;
+        }
+        let query = request.query;
+        if let Some(answer) = self.refuse_unserved(now, request) {
+            actions.push(ForwardAction::Answer { query, answer });
+            return true;
+        }
+        if let Some(retry_after) = self.overload_retry_after(now, request) {
+            let answer = ForwardAnswer::NotRun {
+                reason: RefusalReason::Overload,
+                retry_after,
+            };
+            actions.push(ForwardAction::Answer { query, answer });
+            return true;
+        }
+        self.refuse_limited(now, request, actions)
+    }
+
     /// The answer to a request if too few of its services have a usable replica. Where enough of them
     /// only rest, it names the time until they are back.
     pub(super) fn refuse_unserved(
--- a/policy/src/forward/forward_engine.rs
+++ b/policy/src/forward/forward_engine.rs
@@ -45,7 +45,6 @@
     ForwardEvent,
     ForwardSettings,
     LoggedEvent,
-    RefusalReason,
     RelayRefusal,
     ReplicaKey,
     ReplicaRegistry,
@@ -394,33 +393,6 @@
         Some(request)
     }
 
-    /// Answers a request at once for which nothing has been sent, if the replicas can't serve it in time;
-    /// returns whether it did. One that goes to another daemon is refused there.
-    pub(super) fn refuse_unsendable(
-        &mut self,
-        now: TimePoint,
-        request: &PendingRequest,
-        actions: &mut Vec<ForwardAction>,
-    ) -> bool {
-        if self.reach.lost().is_some() && request.may_be_relayed() {
-            return false;
-        }
-        let query = request.query;
-        if let Some(answer) = self.refuse_unserved(now, request) {
-            actions.push(ForwardAction::Answer { query, answer });
-            return true;
-        }
-        if let Some(retry_after) = self.overload_retry_after(now, request) {
-            let answer = ForwardAnswer::NotRun {
-                reason: RefusalReason::Overload,
-                retry_after,
-            };
-            actions.push(ForwardAction::Answer { query, answer });
-            return true;
-        }
-        self.refuse_limited(now, request, actions)
-    }
-
     /// Sends a request for the first time, to replicas or to another daemon.
     pub(super) fn start_request(
         &mut self,
