--- a/daemon/tests/forward_accounts.rs
+++ b/daemon/tests/forward_accounts.rs
@@ -151,7 +151,8 @@
     let before = daemon.peak_memory();
     try_keys(1, KEYS);
     let grown = daemon.peak_memory() - before;
-    assert!(grown < 4_000_000, "{grown} bytes");
+    // The digests alone would take 1.6 MB.
+    assert!(grown < 1_500_000, "{grown} bytes");
     let reply = get_with(daemon.callers(), "/one/x", "right", KEY);
     assert_eq!(reply.status, 200);
     check_secrecy(&[&daemon]);
--- a/policy/src/forward/pending_request.rs
+++ b/policy/src/forward/pending_request.rs
@@ -39,7 +39,7 @@
 /// execution.
 pub(super) const QUEUE_TIME_SHARE: f64 = 0.5;
 
-/// Whether another daemon forwards a request for this one.
+/// Who sends a request to replicas, or what it waits for before anyone does.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(super) enum RelayState {
     /// It waits for the rate of its client account, and is not sent anywhere.
