Wait for the log in the tests of accounts

a_waiting_request_with_a_revoked_key_is_refused failed in 2 of 5 runs: the answer was 401 as expected, but the test read the log before the line E7042 was in it. Lines are written by a thread of their own. The tests now wait for the line about a last request, so that the checks for keys see all lines, too.

--- a/daemon/tests/account_kit/mod.rs
+++ b/daemon/tests/account_kit/mod.rs
@@ -18,6 +18,7 @@
 };
 
 use crate::forward_cluster::{
+    wait_for,
     DaemonProcess,
     ForwardCluster, //
 };
@@ -98,10 +99,21 @@
     }
 }
 
+/// The log of a daemon with the lines about all requests so far, which are written with a delay: the line about a
+/// last request is awaited.
+pub(crate) fn complete_log(daemon: &DaemonProcess) -> String {
+    let id = format!("last-{}", daemon.log().len());
+    let reply = KeyedCaller::connect(daemon.callers()).get("/nowhere", &id, &[]);
+    assert_eq!(reply.status, 404, "{reply:?}");
+    let line = format!("\"request\":\"{id}\"");
+    wait_for("the log is written", || daemon.log().contains(&line));
+    daemon.log()
+}
+
 /// Checks that nothing that operators see holds a key.
 pub(crate) fn check_secrecy(daemons: &[&DaemonProcess]) {
     for daemon in daemons {
-        for text in [daemon.log(), daemon.metrics(), daemon.status()] {
+        for text in [complete_log(daemon), daemon.metrics(), daemon.status()] {
             assert!(!text.is_empty() && !text.contains("s3cret"), "{text}");
         }
     }
--- a/daemon/tests/forward_account_helpers.rs
+++ b/daemon/tests/forward_account_helpers.rs
@@ -10,6 +10,7 @@
     bearer,
     check_account,
     check_secrecy,
+    complete_log,
     configure,
     sent_headers,
     start,
@@ -119,6 +120,6 @@
     assert_eq!(reply.status, 200, "{}", daemons[0].log());
     check_account(&replicas, "public", None);
     assert_eq!(caller.get("/one/x", "refused", &[FORGED]).status, 401);
-    assert!(daemons[0].log().contains("E7026"));
+    assert!(complete_log(&daemons[0]).contains("E7026"));
     check_secrecy(&[&daemons[0], &daemons[1]]);
 }
--- a/daemon/tests/forward_account_relays.rs
+++ b/daemon/tests/forward_account_relays.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod account_kit;
 mod forward_cluster;
 
 use std::{
@@ -16,6 +17,7 @@
     time::Duration, //
 };
 
+use account_kit::complete_log;
 use forward_cluster::{
     DaemonProcess,
     ForwardCluster, //
@@ -218,6 +220,6 @@
             check_sent(&replica, &id, *tenant);
         }
     }
-    let log = daemon.log();
+    let log = complete_log(&daemon);
     assert!(log.contains("E7043") && !log.contains("s3cret"), "{log}");
 }
--- a/daemon/tests/forward_account_revoked.rs
+++ b/daemon/tests/forward_account_revoked.rs
@@ -19,6 +19,7 @@
     bearer,
     check_account,
     check_secrecy,
+    complete_log,
     configure,
     get_with,
     routes,
@@ -134,7 +135,7 @@
     let left = json!([AccountText::new("other", &[OTHER_KEY]).to_json()]);
     configure(&cluster, 3, &[route], left);
     let reply = revoked.join().unwrap();
-    let log = daemon.log();
+    let log = complete_log(&daemon);
     assert_eq!(reply.status, 401, "{log}");
     assert!(log.contains("E7042"), "{log}");
     for reply in running {
--- a/daemon/tests/forward_accounts.rs
+++ b/daemon/tests/forward_accounts.rs
@@ -14,6 +14,7 @@
     bearer,
     check_account,
     check_secrecy,
+    complete_log,
     configure,
     get_with,
     routes,
@@ -55,7 +56,7 @@
     assert_eq!(reply.status, 200, "{reply:?}");
     check_account(&replicas, "odd", Some("other"));
     check_secrecy(&[&daemon]);
-    let log = daemon.log();
+    let log = complete_log(&daemon);
     assert!(log.contains("\"account\":\"acme\""), "{log}");
     let metrics = daemon.metrics();
     let counted = r#"forward_account_requests_total{account="acme",result="served"} 3"#;
@@ -96,7 +97,7 @@
     // Only the public request without a key.
     assert_eq!(replicas[0].runs(), 1);
     check_secrecy(&[&daemon]);
-    let log = daemon.log();
+    let log = complete_log(&daemon);
     let of_kind = |reason: &str| {
         let lines = log.lines().filter(|line| line.contains("E7040"));
         lines.filter(|line| line.contains(reason)).count()
@@ -118,7 +119,7 @@
     assert_eq!(caller.get("/one/x", "open-1", &[]).status, 401);
     let reply = get_with(daemon.callers(), "/one/x", "open-2", KEY);
     assert_eq!((reply.status, replicas[0].runs()), (401, 0));
-    assert!(daemon.log().contains("tenants[0]"));
+    assert!(complete_log(&daemon).contains("tenants[0]"));
     check_secrecy(&[&daemon]);
 }
 
