Bound the copies of bodies that are relayed to other daemons

A relayed body is copied into a message and into the bytes of its frame. With all callers' bytes in use by requests that are relayed at once, these copies are half of the memory. They now take room from the budget of incomplete replies; without room the request is not sent to that daemon.

--- a/daemon/src/forward/relay_tasks.rs
+++ b/daemon/src/forward/relay_tasks.rs
@@ -68,6 +68,9 @@
 /// short of processor time answers within it.
 const OFFER_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// How often a relayed body is copied: into the message, and into the bytes of its frame.
+const RELAY_COPIES: usize = 2;
+
 impl ForwardLoop {
     /// Asks another daemon how many requests it takes.
     pub(super) fn ask_helper(&self, to: &DaemonName, helpers: u32) {
@@ -98,9 +101,14 @@
             return;
         };
         request.helper = Some(command.to.clone());
-        let call = to_call(request, &command);
-        let relay =
-            address.map(|address| self.peer_link.relay(address, call, command.connect_timeout));
+        // Bodies of requests that many callers send at once would otherwise be copied for all of them.
+        let mut copies = self.reply_budget.start_reply();
+        let copied_bytes = RELAY_COPIES * request.template.body.len();
+        let address = address.filter(|_| copied_bytes == 0 || copies.try_take(copied_bytes));
+        let relay = address.map(|address| {
+            let call = to_call(request, &command);
+            self.peer_link.relay(address, call, command.connect_timeout)
+        });
         let events = self.events.clone();
         let (attempt, query) = (command.attempt, command.query);
         let bound = command.answer_by.since(now);
@@ -117,6 +125,7 @@
                 },
                 None => Err(RelayFailure::Unsent),
             };
+            drop(copies);
             // The channel is closed only when the process ends.
             let _ = events.send(InboxEvent::RelayEnded(attempt, result));
         });
--- a/daemon/src/forward/reply_budget.rs
+++ b/daemon/src/forward/reply_budget.rs
@@ -1,4 +1,4 @@
-//! Limits the memory for replies of replicas that are not complete.
+//! Limits the memory for replies of replicas that are not complete, and for copies of relayed bodies.
 
 use std::{
     cell::Cell,
--- a/daemon/tests/caller_crowd/mod.rs
+++ b/daemon/tests/caller_crowd/mod.rs
@@ -61,6 +61,11 @@
         Self { members }
     }
 
+    /// Number of connections that were opened.
+    pub(crate) fn count(&self) -> usize {
+        self.members.len()
+    }
+
     /// Sends all bytes in turns of at most `piece_bytes` for each connection. Stops early if nothing
     /// more is taken. `watch` is called between the turns.
     pub(crate) fn send(&mut self, piece_bytes: usize, mut watch: impl FnMut()) {
--- a/daemon/tests/caller_memory.rs
+++ b/daemon/tests/caller_memory.rs
@@ -224,6 +224,7 @@
     let mut crowd = CallerCrowd::connect(limited.callers(), 3_900, |number| {
         counted_body("/one/x", &format!("p-{number}"), BODY_BYTES, BODY_BYTES - 1)
     });
+    eprintln!("{} connections opened", crowd.count());
     limited.send(&mut crowd, 8_192);
     limited.check();
 }
