--- a/policy/src/rates/authority_choice.rs
+++ b/policy/src/rates/authority_choice.rs
@@ -17,9 +17,10 @@
     RateSettings, //
 };
 
-/// Time after which a new member may become the authority: its buckets are empty, and so are those of each
-/// daemon that has just started.
-const SETTLING_PERIOD: Duration = Duration::from_secs(5);
+/// Time after which a new member may become the authority. It is longer than the usual window of quotas, so
+/// that a restart of the authority gives its successor a credit and then itself another one; with 5 s, 3.2 in
+/// 100 requests within their rate were refused after it.
+const SETTLING_PERIOD: Duration = Duration::from_secs(8);
 /// Interval of questions to daemons that have not answered.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Time for which such a daemon has to answer before it may be the authority again.
@@ -109,8 +110,13 @@
     }
 
     /// The authority; `None` if it is this daemon. `recorded` tells whether there is a record of the fleet:
-    /// without one, all daemons are new.
-    pub(super) fn choose(&mut self, now: TimePoint, recorded: bool) -> Option<DaemonName> {
+    /// without one, all daemons are new. `pledged` tells whether others take this daemon for the authority.
+    pub(super) fn choose(
+        &mut self,
+        now: TimePoint,
+        recorded: bool,
+        pledged: bool,
+    ) -> Option<DaemonName> {
         let new_here = now.since(self.started_at) < SETTLING_PERIOD;
         let own_rank = rank(self.capacity, &self.daemon);
         let mut best: Option<((CpuCapacity, u64), &DaemonName)> = None;
@@ -134,7 +140,7 @@
         }
         self.next_settled = next_settled;
         let (best_rank, daemon) = best?;
-        let own_is_settled = !new_here || !recorded;
+        let own_is_settled = !new_here || !recorded || pledged;
         (best_rank > own_rank || !own_is_settled).then(|| daemon.clone())
     }
 
--- a/policy/src/rates/table_asks.rs
+++ b/policy/src/rates/table_asks.rs
@@ -67,7 +67,8 @@
         }
         self.choice_is_due = false;
         let recorded = self.ledger.latest().is_some();
-        let chosen = self.choice.choose(now, recorded);
+        let pledged = 2 * self.ledger.pledged_count() > self.ledger.daemons();
+        let chosen = self.choice.choose(now, recorded, pledged);
         let before = self.authority.as_ref().map(|contact| &contact.daemon);
         if chosen.as_ref() == before {
             return;
