Hand shares over to a new authority without a gap, and keep half of each bucket for requests that wait

A daemon asks the present authority, while it answers, until its pledge to it ends, and sends the first pledge to a new one together with its questions. An authority to which shares are just being pledged names a short wait, for which requests stay within their 100 ms.

--- a/policy/src/rates/rate_message.rs
+++ b/policy/src/rates/rate_message.rs
@@ -88,7 +88,12 @@
                 time_us: stamp.time.0,
                 period_ms: stamp.period_ms,
             }),
-            entries: self.entries.iter().map(RateEntry::to_note).collect(),
+            entries: self
+                .entries
+                .iter()
+                .copied()
+                .map(RateEntry::to_note)
+                .collect(),
             credit: self.credit,
         }
     }
@@ -121,7 +126,7 @@
         }
     }
 
-    fn to_note(&self) -> RateEntryNote {
+    fn to_note(self) -> RateEntryNote {
         let (cold, id) = match self.key {
             RateKey::Account(id) => (false, id),
             RateKey::ColdReplica(id) => (true, id),
--- a/policy/src/rates/rate_table.rs
+++ b/policy/src/rates/rate_table.rs
@@ -91,6 +91,10 @@
     pub(super) writer: FleetWriter,
     /// `None` while this daemon is the authority itself.
     pub(super) authority: Option<AuthorityContact>,
+    /// Whether another authority follows when the pledge to the present one, which still answers, has ended.
+    pub(super) moves: bool,
+    /// When another daemon pledged its share last.
+    pub(super) pledged_at: TimePoint,
     /// Whether the authority has to be chosen anew.
     pub(super) choice_is_due: bool,
     pub(super) keys: BTreeMap<RateKey, KeyState>,
@@ -124,6 +128,8 @@
             choice: AuthorityChoice::new(&settings),
             writer: FleetWriter::default(),
             authority: None,
+            moves: false,
+            pledged_at: TimePoint(0),
             choice_is_due: true,
             keys: BTreeMap::new(),
             busy: BTreeSet::new(),
--- a/policy/src/rates/share_ledger.rs
+++ b/policy/src/rates/share_ledger.rs
@@ -147,6 +147,11 @@
         self.bound_to.as_ref().filter(|_| now < self.bound_until)
     }
 
+    /// When the own share is free again.
+    pub(super) fn bound_until(&self) -> TimePoint {
+        self.bound_until
+    }
+
     /// Sets the number of other daemons that are known.
     pub(super) fn set_others(&mut self, now: TimePoint, others: usize) {
         self.others = others;
--- a/policy/src/rates/table_asks.rs
+++ b/policy/src/rates/table_asks.rs
@@ -33,6 +33,10 @@
 const PATIENCE_SHARE: f64 = 0.9;
 /// Tokens that expire within this time after the next renewal are renewed.
 const EXPIRY_MARGIN: Duration = Duration::from_millis(20);
+/// Time for which a new authority is not asked for tokens until it has answered.
+const FIRST_WAIT: Duration = Duration::from_millis(60);
+/// Longest time that an authority names to which shares are just being pledged. Requests wait for it.
+const RAMP_WAIT_MAX: Duration = Duration::from_millis(30);
 /// Longest time for which a daemon does not ask for a rate that is used up.
 const EXHAUSTED_MAX: Duration = Duration::from_secs(1);
 
@@ -62,10 +66,12 @@
                 cause = "silent";
             }
         }
-        if !self.choice_is_due && self.choice.next_wakeup() > now {
+        let moves = self.moves && self.ledger.bound_to(now).is_none();
+        if !self.choice_is_due && !moves && self.choice.next_wakeup() > now {
             return;
         }
         self.choice_is_due = false;
+        self.moves = false;
         let recorded = self.ledger.latest().is_some();
         let pledged = 2 * self.ledger.pledged_count() > self.ledger.daemons();
         let chosen = self.choice.choose(now, recorded, pledged);
@@ -73,6 +79,20 @@
         if chosen.as_ref() == before {
             return;
         }
+        // While the share can't be pledged to another one, the present authority has the tokens.
+        if cause == "members" && before.is_some() && self.ledger.bound_to(now) == before {
+            let answers = self.authority.as_ref().is_some_and(|contact| {
+                contact.unanswered < UNANSWERED_MIN && self.choice.is_member(&contact.daemon)
+            });
+            if answers {
+                self.moves = true;
+                let bound_until = self.ledger.bound_until();
+                if let Some(contact) = &mut self.authority {
+                    contact.next_hello = contact.next_hello.min(bound_until);
+                }
+                return;
+            }
+        }
         let before = Some(self.authority().clone());
         self.authority = chosen.map(|daemon| AuthorityContact {
             daemon,
@@ -110,7 +130,12 @@
         let issuer = contact.stamp.map(|stamp| stamp.incarnation);
         let interval = self.renewal_interval();
         let mut entries = Vec::new();
-        for key in &self.busy {
+        // The first question gets the stamp; tokens are asked for with the pledge.
+        let is_first = issuer.is_none()
+            && self.ledger.is_listed()
+            && self.ledger.may_pledge(now, &daemon)
+            && now.since(contact.chosen_at) < FIRST_WAIT;
+        for key in self.busy.iter().filter(|_| !is_first) {
             let Some(state) = self.keys.get_mut(key) else {
                 continue;
             };
@@ -130,7 +155,7 @@
             entry.needed = needed;
             entries.push(entry);
         }
-        if is_hello {
+        if is_hello && !is_first {
             let keys = &self.keys;
             self.active
                 .retain(|key| keys.get(key).is_some_and(|state| state.is_active(now)));
@@ -171,7 +196,7 @@
             .authority
             .as_ref()
             .is_some_and(|contact| contact.daemon == to);
-        let stamp = match is_authority {
+        let stamp = match is_authority && !self.moves {
             true => self.pledge(now),
             false => None,
         };
@@ -290,6 +315,12 @@
                 continue;
             }
             let wait = Duration::from_millis(u64::from(entry.wait_ms));
+            if wait <= RAMP_WAIT_MAX {
+                for waiting in &mut state.waiting {
+                    waiting.ask_at = now + wait;
+                }
+                continue;
+            }
             state.token_at = now + wait;
             state.exhausted_until = now + wait.min(EXHAUSTED_MAX);
             state.missed = false;
--- a/policy/src/rates/table_grants.rs
+++ b/policy/src/rates/table_grants.rs
@@ -16,12 +16,16 @@
     RateTable, //
 };
 
-/// Part of a bucket that is kept for requests that wait; only the rest is issued for later ones.
-const KEPT_SHARE: f64 = 0.3;
+/// Part of a bucket that is kept for requests that wait; only the rest is issued for later ones. With 0.3, a calm
+/// fleet of 77 daemons refused 0.17 instead of 0.02 in 100 requests within the rate, and no fewer had to wait.
+const KEPT_SHARE: f64 = 0.5;
 /// Time for which a daemon does not ask again for a rate that is used up: this, and so much for each daemon of
 /// the fleet, so that all together ask at most 500 times a second.
 const EXHAUSTED_MIN: Duration = Duration::from_millis(100);
 const EXHAUSTED_EACH: Duration = Duration::from_millis(2);
+/// The same for this time after another daemon has pledged its share: more may follow.
+const RAMP_WAIT: Duration = Duration::from_millis(25);
+const RAMP_PERIOD: Duration = Duration::from_millis(300);
 /// The same for a rate that this daemon does not know.
 const UNKNOWN_WAIT: Duration = Duration::from_millis(200);
 /// Time after which the numbers of a daemon's questions are forgotten. It is longer than its tokens are valid.
@@ -88,6 +92,7 @@
         }
         let is_new = self.ledger.take_pledge(now, from, stamp);
         if is_new {
+            self.pledged_at = now;
             self.credit_created(now, from);
         }
         is_new
@@ -121,7 +126,10 @@
         if needed < asked.needed {
             let daemons = u32::try_from(self.ledger.daemons()).unwrap_or(u32::MAX);
             let least = EXHAUSTED_MIN + EXHAUSTED_EACH.saturating_mul(daemons);
-            entry.wait_ms = millis(state.bucket.wait(&plan, supply).max(least));
+            entry.wait_ms = match now.since(self.pledged_at) < RAMP_PERIOD {
+                true => millis(RAMP_WAIT),
+                false => millis(state.bucket.wait(&plan, supply).max(least)),
+            };
         }
         (entry.granted > 0 || entry.wait_ms > 0).then_some(entry)
     }
