--- a/daemon/tests/forward_cluster/mod.rs
+++ b/daemon/tests/forward_cluster/mod.rs
@@ -157,6 +157,8 @@
     pub(crate) store_address: SocketAddr,
     subnet: [u8; 2],
     last_number: u8,
+    /// Bounds in the settings of daemons, in addition to the usual ones.
+    pub(crate) extra_bounds: &'static str,
 }
 
 impl ForwardCluster {
@@ -172,6 +174,7 @@
             store,
             subnet: [high.max(1), low],
             last_number: 0,
+            extra_bounds: "",
         };
         cluster.configure(1, routes);
         cluster
@@ -201,6 +204,8 @@
         let seeds = [[127, high, low, 1], [127, high, low, 2]];
         let name = format!("d{number}");
         let boot = boot_text(&name, ip, zone, self.store_address, &seeds);
+        let bounds = format!("\"bounds\":{{{}", self.extra_bounds);
+        let boot = boot.replacen("\"bounds\":{", &bounds, 1);
         DaemonProcess::start(&boot, ip, sink)
     }
 
