--- a/policy/src/rates/table_grants.rs
+++ b/policy/src/rates/table_grants.rs
@@ -16,12 +16,16 @@
     RateTable, //
 };
 
-/// Part of a bucket that is kept for requests that wait; only the rest is issued for later ones.
+/// Part of a bucket that is kept for requests that wait; only the rest is issued for later ones. With 0.3, a calm
+/// fleet of 77 daemons refused 0.17 instead of 0.02 in 100 requests within the rate, and no fewer had to wait.
 const KEPT_SHARE: f64 = 0.5;
 /// Time for which a daemon does not ask again for a rate that is used up: this, and so much for each daemon of
 /// the fleet, so that all together ask at most 500 times a second.
 const EXHAUSTED_MIN: Duration = Duration::from_millis(100);
 const EXHAUSTED_EACH: Duration = Duration::from_millis(2);
+/// The same for this time after another daemon has pledged its share: more may follow.
+const RAMP_WAIT: Duration = Duration::from_millis(25);
+const RAMP_PERIOD: Duration = Duration::from_millis(300);
 /// The same for a rate that this daemon does not know.
 const UNKNOWN_WAIT: Duration = Duration::from_millis(200);
 /// Time after which the numbers of a daemon's questions are forgotten. It is longer than its tokens are valid.
@@ -50,7 +54,9 @@
         }
         if let Some(stamp) = &message.stamp {
             let before = self.ledger.supply();
-            self.settle_for_pledge(now, from, stamp, before);
+            if self.settle_for_pledge(now, from, stamp, before) && message.credit {
+                self.add_credit();
+            }
         }
         let mut entries = Vec::new();
         for entry in &message.entries {
@@ -62,6 +68,7 @@
             sequence: message.sequence,
             answers: true,
             incarnation: message.incarnation,
+            credit: false,
             stamp: Some(RateStamp {
                 incarnation: self.settings.incarnation,
                 time: now,
@@ -79,13 +86,25 @@
         from: &DaemonName,
         stamp: &RateStamp,
         before: super::rate_plan::RateSupply,
-    ) {
+    ) -> bool {
         if !self.ledger.has_pledge(from) {
             self.settle_buckets(now, before);
         }
-        if self.ledger.take_pledge(now, from, stamp) {
+        let is_new = self.ledger.take_pledge(now, from, stamp);
+        if is_new {
+            self.pledged_at = now;
             self.credit_created(now, from);
         }
+        is_new
+    }
+
+    /// Adds the credit of one share to all buckets.
+    pub(super) fn add_credit(&mut self) {
+        let (supply, unit) = (self.ledger.supply(), self.ledger.unit());
+        for state in self.keys.values_mut() {
+            let tokens = state.plan.credit * unit;
+            state.bucket.add(tokens, &state.plan, supply);
+        }
     }
 
     /// What is issued of one rate; `None` if the other daemon expects no answer.
@@ -98,16 +117,19 @@
         let supply = self.ledger.supply();
         let plan = state.plan;
         state.bucket.settle(now, &plan, supply);
-        state.bucket.add(f64::from(asked.returned), &plan, supply);
-        let needed = state.bucket.take(asked.needed, 0.0);
-        let kept = plan.depth_of(supply) * KEPT_SHARE;
-        let spare = state.bucket.take(asked.spare, kept);
+        let bucket = &mut state.bucket;
+        bucket.take_back(now, &plan, supply, asked.returned);
+        let needed = bucket.take(now, &plan, supply, (asked.needed, 0.0));
+        let spare = bucket.take(now, &plan, supply, (asked.spare, KEPT_SHARE));
         entry.granted = needed + spare;
         self.counts.granted += u64::from(entry.granted);
         if needed < asked.needed {
             let daemons = u32::try_from(self.ledger.daemons()).unwrap_or(u32::MAX);
             let least = EXHAUSTED_MIN + EXHAUSTED_EACH.saturating_mul(daemons);
-            entry.wait_ms = millis(state.bucket.wait(&plan, supply).max(least));
+            entry.wait_ms = match now.since(self.pledged_at) < RAMP_PERIOD {
+                true => millis(RAMP_WAIT),
+                false => millis(state.bucket.wait(&plan, supply).max(least)),
+            };
         }
         (entry.granted > 0 || entry.wait_ms > 0).then_some(entry)
     }
