Know which replicas are cold, and ask the table of rates before sending them a request

A replica of a service with coldPerS is cold by its registration, by Cold-Remaining of a health reply, for coldS after its start, and for coldS after it could not be reached or its data centre was evacuated, unless it says otherwise. pick takes from RateKey::ColdReplica before it sends to one; parts that only cold replicas could take wait until their goal. The table of rates still admits everything: set_cold_rate is where its limits go.

--- a/daemon/src/forward/inbox_event.rs
+++ b/daemon/src/forward/inbox_event.rs
@@ -1,5 +1,7 @@
 //! Events in the inbox of the forwarding loop.
 
+use std::time::Duration;
+
 use policy::{
     directory::FeedPage,
     forward::{
@@ -83,8 +85,9 @@
         /// The reply or the failure.
         outcome: Box<ExchangeOutcome>,
     },
-    /// A health check of a replica ended; `None` if there was no complete reply.
-    HealthChecked(ReplicaKey, Option<UpstreamLink>),
+    /// A health check of a replica ended; `None` if there was no complete reply. The reply may say for how long
+    /// the replica is still cold.
+    HealthChecked(ReplicaKey, Option<(UpstreamLink, Option<Duration>)>),
     /// A daemon that was asked how many requests it takes answered, or did not.
     OfferReceived(DaemonName, RelayOffer),
     /// The relay of a request ended.
--- a/daemon/src/forward/replica_health.rs
+++ b/daemon/src/forward/replica_health.rs
@@ -12,6 +12,7 @@
     Request, //
 };
 use http_body_util::Full;
+use platform::cold_left;
 use policy::forward::{
     ForwardEvent,
     ReplicaKey, //
@@ -67,36 +68,45 @@
         &mut self,
         now: TimePoint,
         replica: ReplicaKey,
-        link: Option<UpstreamLink>,
+        reply: Option<(UpstreamLink, Option<Duration>)>,
     ) {
-        let answered = link.is_some();
+        let answered = reply.is_some();
         let outcome = if answered { "answered" } else { "failed" };
         let label = [("outcome", outcome)];
         self.metrics.health_checks.get_or_create(&label).inc();
         self.dispatch(now, ForwardEvent::HealthChecked { replica, answered });
-        if let Some(link) = link {
+        if let Some((link, cold_left)) = reply {
+            if let Some(left) = cold_left {
+                self.dispatch(now, ForwardEvent::ColdReported { replica, left });
+            }
             self.metrics.connections_opened.inc();
             self.idle_pool.put(now, replica, link);
         }
     }
 }
 
-/// Returns the connection if a complete reply came on it, whatever it says.
-async fn run_check(address: SocketAddr, path: Option<CompactString>) -> Option<UpstreamLink> {
+/// Returns the connection if a complete reply came on it, whatever it says, and for how long the replica is
+/// still cold if it says so.
+async fn run_check(
+    address: SocketAddr,
+    path: Option<CompactString>,
+) -> Option<(UpstreamLink, Option<Duration>)> {
     let link = UpstreamLink::connect(address, CONNECT_TIMEOUT, || ()).await;
     let mut link = link.ok()?;
     let Some(path) = path else {
-        return Some(link);
+        return Some((link, None));
     };
     let request = Request::get(path.as_str()).header(header::HOST, link.host.clone());
     let request = request.body(Full::new(Bytes::new())).ok()?;
     link.start_exchange();
     let exchange = async {
         let response = link.sender.send_request(request).await.ok()?;
+        let cold_left = cold_left(response.headers());
         let body = response.into_body();
-        read_body(body, BODY_MAX_BYTES, |_| true).await.ok()
+        read_body(body, BODY_MAX_BYTES, |_| true).await.ok()?;
+        Some(cold_left)
     };
-    timeout(ANSWER_TIMEOUT, exchange).await.ok()??;
+    let cold_left = timeout(ANSWER_TIMEOUT, exchange).await.ok()??;
     link.history.record_reply();
-    Some(link)
+    Some((link, cold_left))
 }
--- a/daemon/src/forward/run_forward.rs
+++ b/daemon/src/forward/run_forward.rs
@@ -40,6 +40,7 @@
         PeerCore,
         PeerSettings, //
     },
+    places::ColdBounds,
 };
 use prometheus_client::registry::Registry;
 use schema::{
@@ -253,6 +254,10 @@
         retry_budget_slack: boot.retry_budget_slack,
         retry_budget_window: boot.retry_budget_window,
         capacity: boot.capacity,
+        cold_bounds: boot.cold_bounds.map(|bounds| ColdBounds {
+            overage: bounds.overage,
+            slack: bounds.slack,
+        }),
     };
     let feed_settings = FeedSettings {
         age_max: boot
--- a/policy/src/forward/attempt_dispatch.rs
+++ b/policy/src/forward/attempt_dispatch.rs
@@ -8,6 +8,7 @@
 };
 
 use super::{
+    cold_replicas::wait_for_warm,
     forward_engine::AttemptContext,
     pending_request::PendingRequest,
     request_part::{
@@ -83,7 +84,10 @@
         }
         let service = request.parts[index].service;
         let reserved = request.parts[index].reserved.take();
-        let prepaid = reserved.filter(|key| self.registry.has_room(now, *key));
+        let prepaid = reserved.filter(|key| {
+            self.registry.has_room(now, *key)
+                && self.registry.admit_cold(now, *key, &mut self.rates)
+        });
         if let (Some(key), None) = (reserved, prepaid) {
             self.registry.limits.give_back(key);
         }
@@ -94,9 +98,13 @@
         let part = &request.parts[index];
         let outcome = match prepaid {
             Some(key) => PickOutcome::Picked(key),
-            None => self
-                .registry
-                .pick(now, service, &request.placement, &part.tried),
+            None => self.registry.pick(
+                now,
+                service,
+                &request.placement,
+                &part.tried,
+                &mut self.rates,
+            ),
         };
         let key = match outcome {
             PickOutcome::Picked(key) => key,
@@ -108,6 +116,10 @@
                 self.wait_for_limit(now, request, index, (key, wait), actions);
                 return;
             }
+            PickOutcome::Cold => {
+                wait_for_warm(now, request, index);
+                return;
+            }
             PickOutcome::NoReplica => {
                 self.handle_no_replica(now, request, index);
                 return;
@@ -119,6 +131,7 @@
             if let Some(key) = prepaid {
                 self.registry.limits.give_back(key);
             }
+            self.registry.give_back_cold(now, key, &mut self.rates);
             wait_for_budget(now, request, index);
             return;
         }
--- a/policy/src/forward/attempt_results.rs
+++ b/policy/src/forward/attempt_results.rs
@@ -31,10 +31,15 @@
         };
         self.reach.record_reply(now);
         let latency = now.since(context.sent_at);
+        if !reply.moved {
+            self.record_reached(now, context.replica, actions);
+        }
         self.record_statements(now, &context, &reply, actions);
         if reply.moved {
             // The address belongs to another replica by now: the directory entry is stale.
             self.registry.record_connect_failure(now, context.replica);
+            self.registry
+                .give_back_cold(now, context.replica, &mut self.rates);
         } else if reply.not_run || reply.status >= 500 {
             self.registry.record_failure(now, context.replica);
         } else {
@@ -144,6 +149,7 @@
         };
         match failure {
             ForwardFailure::Unconnected => {
+                self.registry.record_unreachable(now, context.replica);
                 self.reach.record_connect(now, context.replica, false);
                 if let Some((replica, service, period)) =
                     self.registry.record_connect_failure(now, context.replica)
@@ -157,6 +163,7 @@
             }
             ForwardFailure::BrokenNew => {
                 // Something between this daemon and the replicas may accept connections and close them.
+                self.registry.record_unreachable(now, context.replica);
                 self.reach.record_connect(now, context.replica, false);
                 self.registry.record_failure(now, context.replica);
             }
--- a/policy/src/forward/forward_engine.rs
+++ b/policy/src/forward/forward_engine.rs
@@ -50,9 +50,12 @@
     RequestIdentity,
     RouteIndex, //
 };
-use crate::places::{
-    RequestPlacement,
-    UnknownHomes, //
+use crate::{
+    places::{
+        RequestPlacement,
+        UnknownHomes, //
+    },
+    rates::RateTable,
 };
 
 /// Margin before the latency goal for delays that the daemon can't measure: that of the caller's
@@ -111,6 +114,8 @@
     pub(super) intake: RelayIntake,
     /// Services with queued parts in which an attempt has just ended.
     pub(super) freed_services: Vec<usize>,
+    /// Rates that all daemons together keep.
+    pub(super) rates: RateTable,
     /// Home regions that the deployment does not have.
     unknown_homes: UnknownHomes,
 }
@@ -136,6 +141,7 @@
             probes: CrashProbes::default(),
             crashes: CrashTable::default(),
             freed_services: Vec::new(),
+            rates: RateTable::default(),
             unknown_homes: UnknownHomes::default(),
         }
     }
@@ -175,9 +181,9 @@
             ForwardEvent::ReplicaListed(entry) => self.list_replica(now, entry, actions),
             ForwardEvent::ReplicaUnlisted(name) => self.unlist_replica(now, &name, actions),
             ForwardEvent::ZoneEvacuated { zone, evacuated } => {
-                self.on_zone_evacuated(zone, evacuated, actions);
+                self.on_zone_evacuated(now, zone, evacuated, actions);
             }
-            ForwardEvent::TableApplied(index) => self.apply_table(&index, actions),
+            ForwardEvent::TableApplied(index) => self.apply_table(now, &index, actions),
             ForwardEvent::DaemonsCounted { daemons, others } => {
                 self.registry.set_daemons(now, daemons, others);
             }
@@ -190,6 +196,9 @@
             ForwardEvent::HealthChecked { replica, answered } => {
                 self.on_health_checked(now, replica, answered, actions);
             }
+            ForwardEvent::ColdReported { replica, left } => {
+                self.on_cold_reported(now, replica, left);
+            }
             ForwardEvent::LeavingNamed { instances } => {
                 self.on_leaving_named(now, &instances, actions);
             }
@@ -260,7 +269,12 @@
 
     /// Applies a new route table: forgets the state of removed routes and updates the connection
     /// limits of services.
-    fn apply_table(&mut self, index: &RouteIndex, actions: &mut Vec<ForwardAction>) {
+    fn apply_table(
+        &mut self,
+        now: TimePoint,
+        index: &RouteIndex,
+        actions: &mut Vec<ForwardAction>,
+    ) {
         let table = &index.table;
         let regions = self.registry.settings.regions.values().collect();
         for (region, [routes, accounts]) in self.unknown_homes.apply_table(&regions, table) {
@@ -274,6 +288,7 @@
             let service = self.registry.index_of(name);
             self.registry.services[service].max_connections = *connections;
         }
+        self.registry.set_cold_limits(now, table);
         let names: BTreeSet<&RouteName> = table.routes.iter().map(|route| &route.name).collect();
         self.routes.retain(|name, _| names.contains(name));
     }
@@ -282,13 +297,17 @@
     /// they go elsewhere, or have a choice again.
     fn on_zone_evacuated(
         &mut self,
+        now: TimePoint,
         zone: ZoneName,
         evacuated: bool,
         actions: &mut Vec<ForwardAction>,
     ) {
         // A replica that registers in an unknown data centre later is evacuated all the same.
-        let services = self.registry.set_evacuated(&zone, evacuated);
+        let services = self.registry.set_evacuated(now, &zone, evacuated);
         self.freed_services.extend(services);
+        if !evacuated {
+            self.check_cold(&zone, actions);
+        }
         if self.registry.knows_zone(&zone) {
             let event = LoggedEvent::ZoneEvacuated { zone, evacuated };
             actions.push(ForwardAction::Log(event));
--- a/policy/src/forward/forward_event.rs
+++ b/policy/src/forward/forward_event.rs
@@ -1,6 +1,9 @@
 //! Events that the daemon reports to the forwarding engine.
 
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 
 use schema::{
     AttemptId,
@@ -125,6 +128,13 @@
         /// Whether a complete reply came, whatever it says.
         answered: bool,
     },
+    /// A replica has said in its reply to a health check for how long it is cold.
+    ColdReported {
+        /// The replica.
+        replica: ReplicaKey,
+        /// The time; zero if it is warm.
+        left: Duration,
+    },
     /// Another daemon, which answered a relayed request, named replicas that leave.
     LeavingNamed {
         /// The replicas, see [`schema::ReplicaEntry::instance`].
--- a/policy/src/forward/mod.rs
+++ b/policy/src/forward/mod.rs
@@ -14,6 +14,7 @@
 mod attempt_dispatch;
 mod attempt_results;
 mod budget_shares;
+mod cold_replicas;
 mod crash_evidence;
 mod crash_key;
 mod crash_probes;
--- a/policy/src/forward/replica_choice.rs
+++ b/policy/src/forward/replica_choice.rs
@@ -10,13 +10,17 @@
     ServiceName,
     TimePoint, //
 };
+use smallvec::SmallVec;
 
 use super::{
     replica_registry::service_median_ms,
     ReplicaKey,
     ReplicaRegistry, //
 };
-use crate::places::RequestPlacement;
+use crate::{
+    places::RequestPlacement,
+    rates::RateTable, //
+};
 
 /// Range of the random cost that spreads requests over equal replicas in the same data centre.
 const RANDOM_SPREAD_MS: f64 = 1.0;
@@ -33,19 +37,43 @@
     /// All usable replicas that have not been tried have reached their limits. This one takes a
     /// request again first, after the given time.
     Limited(ReplicaKey, Duration),
+    /// All that are left are cold and get no further request now.
+    Cold,
     /// No usable replica is left that has not been tried.
     NoReplica,
 }
 
 impl ReplicaRegistry {
-    /// Chooses the replica of `service` with the lowest cost, other than those in `tried` and those that
-    /// have reached their limits.
+    /// Chooses the replica of `service` with the lowest cost, other than those in `tried`, those that have
+    /// reached their limits and cold ones that `rates` gives no request.
     pub fn pick(
         &mut self,
         now: TimePoint,
         service: usize,
         placement: &RequestPlacement,
         tried: &[ReplicaKey],
+        rates: &mut RateTable,
+    ) -> PickOutcome {
+        let mut excluded: SmallVec<[ReplicaKey; 8]> = tried.iter().copied().collect();
+        loop {
+            match self.cheapest(now, service, placement, &excluded) {
+                PickOutcome::Picked(key) if !self.admit_cold(now, key, rates) => {
+                    excluded.push(key);
+                }
+                PickOutcome::NoReplica if excluded.len() > tried.len() => {
+                    return PickOutcome::Cold;
+                }
+                outcome => return outcome,
+            }
+        }
+    }
+
+    fn cheapest(
+        &mut self,
+        now: TimePoint,
+        service: usize,
+        placement: &RequestPlacement,
+        tried: &[ReplicaKey],
     ) -> PickOutcome {
         let state = &self.services[service];
         let median_ms = service_median_ms(state);
--- a/policy/src/forward/replica_record.rs
+++ b/policy/src/forward/replica_record.rs
@@ -11,6 +11,10 @@
 use smallvec::SmallVec;
 
 use super::statement_table::KeptStatements;
+use crate::{
+    places::ColdState,
+    rates::RateLimit, //
+};
 
 /// Identifies a replica within this process. A replica that restarts under the same name gets a new
 /// key.
@@ -72,8 +76,12 @@
     pub(super) avoid_until: TimePoint,
     /// End of the warm-up, in which the replica is assumed to need twice the median time.
     cold_until: TimePoint,
+    /// Whether it bears less than usual.
+    pub(super) cold: ColdState,
+    /// The rate that all daemons keep for it because of that.
+    pub(super) cold_rate: Option<RateLimit>,
     /// When the latest reply that did not count as a failure arrived.
-    last_reply_at: TimePoint,
+    pub(super) last_reply_at: TimePoint,
     /// Moving average of the latency in milliseconds, with the time of its latest sample.
     latency: Option<(TimePoint, f64)>,
     /// Moving average of the failure rate, from 0 to 1, with the time of its latest sample.
@@ -85,8 +93,12 @@
 impl ReplicaRecord {
     /// Creates the record of a replica that has just been listed.
     pub(super) fn new(now: TimePoint, entry: ReplicaEntry, service: usize) -> Self {
+        let mut cold = ColdState::default();
+        cold.record_listed(now, entry.cold_left);
         Self {
             cold_until: now + entry.cold_left,
+            cold,
+            cold_rate: None,
             entry,
             service,
             round_trip_ms: 0.0,
@@ -107,6 +119,7 @@
     /// Replaces the directory entry by a newer one of the same replica.
     pub(super) fn update_entry(&mut self, now: TimePoint, entry: ReplicaEntry) {
         self.cold_until = now + entry.cold_left;
+        self.cold.record_listed(now, entry.cold_left);
         self.entry = entry;
         self.listed = true;
     }
@@ -140,6 +153,7 @@
         self.connect_failures = 0;
         self.failures = (now, 0.0);
         self.latency = None;
+        self.cold.forgive();
     }
 
     /// Records the end of an attempt.
--- a/policy/src/forward/replica_registry.rs
+++ b/policy/src/forward/replica_registry.rs
@@ -141,6 +141,7 @@
             queue: PartQueue::default(),
             latency: LatencySketch::default(),
             max_connections: DEFAULT_CONNECTIONS,
+            cold_limit: None,
             sharers: None,
             gathered_elsewhere: false,
         });
@@ -206,12 +207,18 @@
         }
         self.records.insert(key, record);
         self.services[service].replicas.push(key);
+        self.set_cold_period(now, key);
         (replaced, true)
     }
 
     /// Starts or ends the evacuation of a data centre; returns the services of its replicas. Attempts in
     /// flight go on.
-    pub(super) fn set_evacuated(&mut self, zone: &ZoneName, evacuated: bool) -> BTreeSet<usize> {
+    pub(super) fn set_evacuated(
+        &mut self,
+        now: TimePoint,
+        zone: &ZoneName,
+        evacuated: bool,
+    ) -> BTreeSet<usize> {
         match evacuated {
             true => self.evacuated.insert(zone.clone()),
             false => self.evacuated.remove(zone),
@@ -219,6 +226,10 @@
         let records = self.records.values_mut();
         let mut services = BTreeSet::new();
         for record in records.filter(|record| record.entry.zone == *zone) {
+            if record.evacuated && !evacuated {
+                // It may have restarted while this daemon sent it nothing.
+                record.cold.record_unknown(now);
+            }
             record.evacuated = evacuated;
             services.insert(record.service);
         }
--- a/policy/src/forward/service_state.rs
+++ b/policy/src/forward/service_state.rs
@@ -1,6 +1,9 @@
 //! What the engine knows about one service.
 
-use schema::ServiceName;
+use schema::{
+    ColdLimit,
+    ServiceName, //
+};
 
 use super::{
     LatencySketch,
@@ -24,6 +27,8 @@
     pub(super) latency: LatencySketch,
     /// Number of connections that each replica accepts from all daemons together.
     pub(super) max_connections: u32,
+    /// What its replicas bear while they are cold; `None` if that is not limited.
+    pub(super) cold_limit: Option<ColdLimit>,
     /// Number of daemons that share these connections, if this one is among the few that gather for the
     /// others.
     pub(super) sharers: Option<u32>,
--- a/policy/src/places/mod.rs
+++ b/policy/src/places/mod.rs
@@ -1,7 +1,14 @@
-//! Where requests may be served: home regions of routes and client accounts.
+//! Where requests may be served: home regions of routes and client accounts, and cold replicas.
 
+mod cold_state;
 mod request_placement;
 mod unknown_homes;
 
+pub(crate) use cold_state::set_cold_rate;
+pub use cold_state::{
+    ColdBounds,
+    ColdPhase,
+    ColdState, //
+};
 pub use request_placement::RequestPlacement;
 pub use unknown_homes::UnknownHomes;
--- a/policy/tests/forward_connections.rs
+++ b/policy/tests/forward_connections.rs
@@ -20,7 +20,8 @@
         PickOutcome,
         ReplicaRegistry, //
     },
-    places::RequestPlacement, //
+    places::RequestPlacement,
+    rates::RateTable, //
 };
 use schema::{
     CpuCapacity,
@@ -51,6 +52,7 @@
         retry_budget_slack: 160.0,
         retry_budget_window: Duration::from_secs(10),
         capacity: CpuCapacity(120),
+        cold_bounds: None,
     });
     for shard in 0..SHARDS {
         for (zone, _) in ZONES.iter().step_by(2) {
@@ -84,10 +86,13 @@
         let mut connected = BTreeSet::new();
         for _ in 0..30 {
             for shard in 0..SHARDS {
-                let PickOutcome::Picked(first) = registry.pick(START, shard, &anywhere, &[]) else {
+                let PickOutcome::Picked(first) =
+                    registry.pick(START, shard, &anywhere, &[], &mut RateTable::default())
+                else {
                     panic!("no replica");
                 };
-                let PickOutcome::Picked(second) = registry.pick(START, shard, &anywhere, &[first])
+                let PickOutcome::Picked(second) =
+                    registry.pick(START, shard, &anywhere, &[first], &mut RateTable::default())
                 else {
                     panic!("no second replica");
                 };
