--- a/policy/tests/cold_replicas.rs
+++ b/policy/tests/cold_replicas.rs
@@ -4,20 +4,44 @@
 
 mod forward_kit;
 
-use std::time::Duration;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 
 use forward_kit::{
     ms,
+    route,
     START, //
 };
-use policy::places::{
-    ColdBounds,
-    ColdPhase,
-    ColdState, //
+use policy::{
+    forward::{
+        ForwardAction,
+        ForwardCall,
+        ForwardEngine,
+        ForwardEvent,
+        ForwardFailure,
+        ForwardReply,
+        ForwardSettings,
+        ReplicaKey,
+        RequestIdentity,
+        RouteIndex,
+        SendCommand, //
+    },
+    places::{
+        ColdBounds,
+        ColdPhase,
+        ColdState, //
+    },
 };
 use schema::{
     ColdLimit,
-    TimePoint, //
+    QueryId,
+    ReplicaEntry,
+    RouteTable,
+    RouteTarget,
+    TimePoint,
+    ZoneName, //
 };
 
 const PERIOD: Duration = Duration::from_secs(8);
@@ -114,3 +138,107 @@
     let bound = cold.per_second * (1.0 + cold.overage) + cold.slack;
     assert!((bound - 20.0).abs() < 1e-9);
 }
+
+/// An engine with a cold limit on its only service, and `replicas` replicas in one data centre.
+fn engine(replicas: u64) -> (ForwardEngine, Arc<RouteIndex>) {
+    let mut engine = ForwardEngine::new(ForwardSettings {
+        cold_bounds: Some(BOUNDS),
+        ..ForwardSettings::default()
+    });
+    let table = RouteTable {
+        routes: vec![route("r", RouteTarget::Single("s".parse().unwrap()))],
+        services: vec![("s".parse().unwrap(), 40)],
+        cold_limits: vec![("s".parse().unwrap(), LIMIT)],
+        ..RouteTable::default()
+    };
+    let index = Arc::new(RouteIndex::new(table));
+    let mut events = vec![ForwardEvent::TableApplied(index.clone())];
+    for number in 0..replicas {
+        events.push(ForwardEvent::ReplicaListed(ReplicaEntry {
+            name: format!("i{number}").parse().unwrap(),
+            service: "s".parse().unwrap(),
+            address: "127.0.0.1:1".parse().unwrap(),
+            zone: "a".parse().unwrap(),
+            slots: 2,
+            draining: false,
+            cold_left: Duration::ZERO,
+            born_ms: 1,
+        }));
+    }
+    for event in events {
+        engine.on_event(START, event, &mut Vec::new());
+    }
+    (engine, index)
+}
+
+/// The replicas that are asked for their health after `event`.
+fn checked(engine: &mut ForwardEngine, now: TimePoint, event: ForwardEvent) -> Vec<ReplicaKey> {
+    let mut actions = Vec::new();
+    engine.on_event(now, event, &mut actions);
+    let checks = actions.into_iter().filter_map(|action| match action {
+        ForwardAction::CheckHealth { replica, .. } => Some(replica),
+        _ => None,
+    });
+    checks.collect()
+}
+
+/// Sends a request and returns its first attempt.
+fn send(engine: &mut ForwardEngine, now: TimePoint, index: &Arc<RouteIndex>) -> SendCommand {
+    let call = ForwardCall {
+        index: index.clone(),
+        route: 0,
+        time_left: Some(ms(3_000)),
+        identity: RequestIdentity::default(),
+        shards: Vec::new(),
+        account: None,
+        terms: None,
+    };
+    let query = QueryId(now.0);
+    let mut actions = Vec::new();
+    engine.on_event(now, ForwardEvent::Arrived { query, call }, &mut actions);
+    let mut sent = actions.into_iter().filter_map(|action| match action {
+        ForwardAction::Send(command) => Some(command),
+        _ => None,
+    });
+    sent.next().unwrap()
+}
+
+fn reply() -> ForwardReply {
+    ForwardReply {
+        status: 200,
+        stamp: Some("stamp".into()),
+        ..ForwardReply::default()
+    }
+}
+
+/// Guards against replicas that are not asked whether they are cold when they return from a failure or an
+/// evacuation, and so stay limited though they are warm.
+#[test]
+fn replicas_that_return_are_asked_whether_they_are_cold() {
+    let (mut engine, index) = engine(1);
+    let first = send(&mut engine, START, &index);
+    let failed = ForwardEvent::Failed {
+        attempt: first.attempt,
+        failure: ForwardFailure::Unconnected,
+    };
+    engine.on_event(START + ms(1), failed, &mut Vec::new());
+    let later = START + ms(5_000);
+    let second = send(&mut engine, later, &index);
+    let replied = |attempt| ForwardEvent::Replied {
+        attempt,
+        reply: reply(),
+    };
+    let event = replied(second.attempt);
+    assert_eq!(checked(&mut engine, later, event), [second.replica]);
+    // One that was reached all the time is not asked.
+    let third = send(&mut engine, later + ms(1), &index);
+    let event = replied(third.attempt);
+    assert!(checked(&mut engine, later + ms(2), event).is_empty());
+    let zone: ZoneName = "a".parse().unwrap();
+    for evacuated in [true, false] {
+        let zone = zone.clone();
+        let event = ForwardEvent::ZoneEvacuated { zone, evacuated };
+        let asked = checked(&mut engine, later + ms(3), event);
+        assert_eq!(asked.is_empty(), evacuated);
+    }
+}
