--- a/policy/tests/crash_bench/mod.rs
+++ b/policy/tests/crash_bench/mod.rs
@@ -122,6 +122,9 @@
     pub(crate) fn add_daemon(&mut self) {
         let settings = ForwardSettings {
             zone: "a".parse().unwrap(),
+            regions: ["a", "b"]
+                .map(|zone| (zone.parse().unwrap(), zone.parse().unwrap()))
+                .into(),
             retry_budget_ratio: 10.0,
             retry_budget_slack: 10_000.0,
             ..ForwardSettings::default()
