Take a replica that still replies for reachable, though it refuses a connection

A replica whose connections are all in use refuses further ones; counting it as cold for coldS after that would cost most of its capacity.

--- a/policy/src/forward/cold_replicas.rs
+++ b/policy/src/forward/cold_replicas.rs
@@ -29,6 +29,9 @@
     },
 };
 
+/// Time without a reply of a replica after which a failed connection means that it was unreachable. One that
+/// still replies on other connections has not restarted, it only accepts no more of them.
+const SILENT_PERIOD: Duration = Duration::from_millis(280);
 /// Time without a reply of any replica of a data centre after which a failed connection to one means that all
 /// were unreachable.
 const ZONE_SILENT_PERIOD: Duration = Duration::from_secs(1);
@@ -86,7 +89,8 @@
         let last_reply = last_reply.unwrap_or_default();
         let whole = last_reply > TimePoint(0) && now.since(last_reply) >= ZONE_SILENT_PERIOD;
         for (other, record) in &mut self.records {
-            if *other == key || (whole && record.entry.zone == zone) {
+            let silent = now.since(record.last_reply_at) >= SILENT_PERIOD;
+            if (*other == key && silent) || (whole && record.entry.zone == zone) {
                 record.cold.record_unreachable();
             }
         }
