--- a/daemon/src/forward/run_forward.rs
+++ b/daemon/src/forward/run_forward.rs
@@ -41,6 +41,7 @@
         PeerCore,
         PeerSettings, //
     },
+    places::ColdBounds,
     rates::RateBounds,
 };
 use prometheus_client::registry::Registry;
@@ -281,6 +282,10 @@
             overage: bounds.overage,
             slack: bounds.slack,
         }),
+        cold_bounds: boot.cold_bounds.map(|bounds| ColdBounds {
+            overage: bounds.overage,
+            slack: bounds.slack,
+        }),
     };
     let feed_settings = FeedSettings {
         age_max: boot
--- a/policy/src/forward/forward_engine.rs
+++ b/policy/src/forward/forward_engine.rs
@@ -194,7 +194,7 @@
             ForwardEvent::ReplicaListed(entry) => self.list_replica(now, entry, actions),
             ForwardEvent::ReplicaUnlisted(name) => self.unlist_replica(now, &name, actions),
             ForwardEvent::ZoneEvacuated { zone, evacuated } => {
-                self.on_zone_evacuated(zone, evacuated, actions);
+                self.on_zone_evacuated(now, zone, evacuated, actions);
             }
             ForwardEvent::KeysRevoked { queries } => {
                 self.on_keys_revoked(now, &queries, actions);
@@ -212,6 +212,9 @@
             ForwardEvent::HealthChecked { replica, answered } => {
                 self.on_health_checked(now, replica, answered, actions);
             }
+            ForwardEvent::ColdReported { replica, left } => {
+                self.on_cold_reported(now, replica, left);
+            }
             ForwardEvent::LeavingNamed { instances } => {
                 self.on_leaving_named(now, &instances, actions);
             }
@@ -311,6 +314,7 @@
             let service = self.registry.index_of(name);
             self.registry.services[service].max_connections = *connections;
         }
+        self.registry.set_cold_limits(now, table);
         let names: BTreeSet<&RouteName> = table.routes.iter().map(|route| &route.name).collect();
         self.routes.retain(|name, _| names.contains(name));
     }
@@ -319,13 +323,17 @@
     /// they go elsewhere, or have a choice again.
     fn on_zone_evacuated(
         &mut self,
+        now: TimePoint,
         zone: ZoneName,
         evacuated: bool,
         actions: &mut Vec<ForwardAction>,
     ) {
         // A replica that registers in an unknown data centre later is evacuated all the same.
-        let services = self.registry.set_evacuated(&zone, evacuated);
+        let services = self.registry.set_evacuated(now, &zone, evacuated);
         self.freed_services.extend(services);
+        if !evacuated {
+            self.check_cold(&zone, actions);
+        }
         if self.registry.knows_zone(&zone) {
             let event = LoggedEvent::ZoneEvacuated { zone, evacuated };
             actions.push(ForwardAction::Log(event));
--- a/policy/src/forward/forward_event.rs
+++ b/policy/src/forward/forward_event.rs
@@ -139,6 +139,13 @@
         /// Whether a complete reply came, whatever it says.
         answered: bool,
     },
+    /// A replica has said in its reply to a health check for how long it is cold.
+    ColdReported {
+        /// The replica.
+        replica: ReplicaKey,
+        /// The time; zero if it is warm.
+        left: Duration,
+    },
     /// Another daemon, which answered a relayed request, named replicas that leave.
     LeavingNamed {
         /// The replicas, see [`schema::ReplicaEntry::instance`].
--- a/policy/src/forward/forward_settings.rs
+++ b/policy/src/forward/forward_settings.rs
@@ -12,7 +12,10 @@
     ZoneName, //
 };
 
-use crate::rates::RateBounds;
+use crate::{
+    places::ColdBounds,
+    rates::RateBounds, //
+};
 
 /// Settings that are fixed when the engine is created.
 #[derive(Clone, Debug)]
@@ -38,6 +41,8 @@
     pub incarnation: u64,
     /// How far accounts may exceed their quotas; `None` if there are no quotas.
     pub quota_bounds: Option<RateBounds>,
+    /// How far rates of cold replicas may be exceeded; `None` if the deployment has none.
+    pub cold_bounds: Option<ColdBounds>,
 }
 
 impl Default for ForwardSettings {
@@ -53,6 +58,7 @@
             capacity: CpuCapacity::default(),
             incarnation: 0,
             quota_bounds: None,
+            cold_bounds: None,
         }
     }
 }
--- a/policy/tests/forward_connections.rs
+++ b/policy/tests/forward_connections.rs
@@ -20,7 +20,8 @@
         PickOutcome,
         ReplicaRegistry, //
     },
-    places::RequestPlacement, //
+    places::RequestPlacement,
+    rates::RateTable, //
 };
 use schema::{
     CpuCapacity,
@@ -85,10 +86,13 @@
         let mut connected = BTreeSet::new();
         for _ in 0..30 {
             for shard in 0..SHARDS {
-                let PickOutcome::Picked(first) = registry.pick(START, shard, &anywhere, &[]) else {
+                let PickOutcome::Picked(first) =
+                    registry.pick(START, shard, &anywhere, &[], &mut RateTable::default())
+                else {
                     panic!("no replica");
                 };
-                let PickOutcome::Picked(second) = registry.pick(START, shard, &anywhere, &[first])
+                let PickOutcome::Picked(second) =
+                    registry.pick(START, shard, &anywhere, &[first], &mut RateTable::default())
                 else {
                     panic!("no second replica");
                 };
