--- a/policy/src/rates/share_ledger.rs
+++ b/policy/src/rates/share_ledger.rs
@@ -26,9 +26,9 @@
 /// Time after the start in which a daemon without a record issues nothing, since it may not know the others.
 const UNRECORDED_DELAY: Duration = Duration::from_secs(1);
 /// Shortest time for which a pledge holds.
-const PLEDGE_PERIOD_MIN: Duration = Duration::from_secs(1);
+const PLEDGE_PERIOD_MIN: Duration = Duration::from_millis(500);
 /// The same for each daemon of the fleet.
-const PLEDGE_PERIOD_EACH: Duration = Duration::from_millis(10);
+const PLEDGE_PERIOD_EACH: Duration = Duration::from_millis(5);
 /// Longest time for which a pledge holds, whatever a message says.
 const PLEDGE_PERIOD_MAX: Duration = Duration::from_secs(60);
 
