--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -180,6 +180,9 @@
     ZONE_EVACUATED = "E7037" Info "data centre evacuated; sending its replicas no new requests";
     /// The operator has ended the evacuation of a data centre.
     ZONE_READMITTED = "E7038" Info "evacuation of the data centre ended; its replicas get requests again";
+    /// The environment switches parts of the work-aware forwarding off.
+    WORK_PARTS_OFF = "E7080" Warning
+        "environment names parts of the work-aware forwarding to switch off; meant for measurements";
 }
 
 /// Logs an event of the catalogue with its code and the given fields:
--- a/daemon/src/forward/run_forward.rs
+++ b/daemon/src/forward/run_forward.rs
@@ -1,6 +1,7 @@
 //! Opens the ports of the forwarding daemon and runs its loop.
 
 use std::{
+    env,
     fs,
     net::SocketAddr,
     path::Path,
@@ -40,6 +41,7 @@
         PeerCore,
         PeerSettings, //
     },
+    work::WorkSettings, //
 };
 use prometheus_client::registry::Registry;
 use schema::{
@@ -128,6 +130,8 @@
 const STORE_TIMEOUT: Duration = Duration::from_millis(600);
 /// Time for the body of the store's answer; a configuration may be 1 MB and the link slow.
 const STORE_BODY_TIMEOUT: Duration = Duration::from_secs(3);
+/// Names parts of the work-aware forwarding to switch off, separated by commas, for measurements.
+const WORK_VARIABLE: &str = "POLLENTALLY_WORK";
 /// Key of the messages between daemons. The platform provides no secret; its network is private.
 const PEER_KEY: [u8; 32] = [0; 32];
 /// Time to find the other daemons before the store is read, if all daemons start at once.
@@ -253,6 +257,7 @@
         retry_budget_slack: boot.retry_budget_slack,
         retry_budget_window: boot.retry_budget_window,
         capacity: boot.capacity,
+        work: work_settings(&log),
     };
     let feed_settings = FeedSettings {
         age_max: boot
@@ -381,3 +386,20 @@
         .with_state(registry)
         .route(STATUS_PATH, get(status))
 }
+
+/// The parts of the work-aware forwarding that the environment leaves in use.
+fn work_settings(log: &Logger) -> WorkSettings {
+    let Ok(names) = env::var(WORK_VARIABLE) else {
+        return WorkSettings::default();
+    };
+    match WorkSettings::without(&names) {
+        Ok(settings) => {
+            log_event!(log, events::WORK_PARTS_OFF, "parts" => names, "unknown" => "");
+            settings
+        }
+        Err(unknown) => {
+            log_event!(log, events::WORK_PARTS_OFF, "parts" => "", "unknown" => unknown);
+            WorkSettings::default()
+        }
+    }
+}
--- a/policy/src/forward/forward_settings.rs
+++ b/policy/src/forward/forward_settings.rs
@@ -12,6 +12,8 @@
     ZoneName, //
 };
 
+use crate::work::WorkSettings;
+
 /// Settings that are fixed when the engine is created.
 #[derive(Clone, Debug)]
 pub struct ForwardSettings {
@@ -32,6 +34,8 @@
     pub retry_budget_window: Duration,
     /// Processor capacity of this daemon, as the other daemons know it.
     pub capacity: CpuCapacity,
+    /// Parts of the work-aware forwarding that are in use.
+    pub work: WorkSettings,
 }
 
 impl Default for ForwardSettings {
@@ -45,6 +49,7 @@
             retry_budget_slack: 0.0,
             retry_budget_window: Duration::from_secs(10),
             capacity: CpuCapacity::default(),
+            work: WorkSettings::default(),
         }
     }
 }
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod replicas;
 mod rotation;
 pub mod store;
+pub mod work;
--- a/policy/tests/forward_connections.rs
+++ b/policy/tests/forward_connections.rs
@@ -51,6 +51,7 @@
         retry_budget_slack: 160.0,
         retry_budget_window: Duration::from_secs(10),
         capacity: CpuCapacity(120),
+        work: Default::default(),
     });
     for shard in 0..SHARDS {
         for (zone, _) in ZONES.iter().step_by(2) {
