Choose replicas by expected completion where they report their load, and hedge by it

Cause: the present cost compares replicas by their average latency over all kinds of requests. Hedges wait for twice that. Tests forward_*, work_choice and headers pass (forward_exchange_history was not run on the final code); daemon tests were not run.

--- a/daemon/src/forward/replica_exchange.rs
+++ b/daemon/src/forward/replica_exchange.rs
@@ -19,6 +19,7 @@
     UnreadableStatement, //
 };
 use schema::{
+    ReplicaLoad,
     RequestRate,
     RestPeriod, //
 };
@@ -137,7 +138,7 @@
             not_run: marks.not_run,
             moved: marks.moved,
             stamp: marks.stamp,
-            statements: statements_of(marks.limit, marks.leaving, marks.rest),
+            statements: statements_of(marks.limit, marks.load, marks.leaving, marks.rest),
             body: body.clone(),
         }),
         reply: Some(ReplicaReply { head, body }),
@@ -158,10 +159,12 @@
 
 fn statements_of(
     limit: Option<Result<RequestRate, UnreadableValue>>,
+    load: Option<Result<ReplicaLoad, UnreadableValue>>,
     leaving: Option<Result<bool, UnreadableValue>>,
     rest: Option<Result<RestPeriod, UnreadableValue>>,
 ) -> ReplicaStatements {
     let mut unreadable = SmallVec::new();
+    let load = read_or_note("load", load, &mut unreadable);
     let leaving = read_or_note("leaving", leaving, &mut unreadable);
     let rest = read_or_note("rest", rest, &mut unreadable);
     ReplicaStatements {
@@ -170,6 +173,7 @@
             Some(Ok(limit)) => LimitStatement::Limited(limit),
             Some(Err(UnreadableValue(value))) => LimitStatement::Unreadable(value),
         },
+        load,
         leaving: leaving.unwrap_or(false),
         rest,
         unreadable,
--- a/policy/src/forward/attempt_dispatch.rs
+++ b/policy/src/forward/attempt_dispatch.rs
@@ -10,6 +10,7 @@
 use super::{
     forward_engine::AttemptContext,
     pending_request::PendingRequest,
+    replica_record::SentAttempt,
     request_part::{
         PartState,
         RequestPart, //
@@ -31,6 +32,11 @@
 /// route without a latency goal.
 const BUDGET_WAIT_MAX: Duration = Duration::from_secs(1);
 
+/// Ratio of the hedge delay to the expected completion at the replica.
+const HEDGE_EXPECTED_FACTOR: f64 = 2.0;
+/// Longest hedge delay by the expected completion, as a share of the time left until the goal.
+const HEDGE_WAIT_SHARE: f64 = 0.5;
+
 impl ForwardEngine {
     /// Sends a new request to a replica of each of its services, or hands shards to delegates. One under
     /// suspicion stays at this daemon, which waits for the first reply.
@@ -89,14 +95,22 @@
         }
         let held_back = match request.parts[index].sent || reserved.is_some() {
             true => None,
-            false => self.registry.held_back(now, service, &request.placement),
+            false => {
+                let route = &request.spec().name;
+                self.registry
+                    .held_back(now, service, route, &request.placement)
+            }
         };
         let part = &request.parts[index];
         let outcome = match prepaid {
             Some(key) => PickOutcome::Picked(key),
-            None => self
-                .registry
-                .pick(now, service, &request.placement, &part.tried),
+            None => self.registry.pick_for(
+                now,
+                service,
+                Some(&request.spec().name),
+                &request.placement,
+                &part.tried,
+            ),
         };
         let key = match outcome {
             PickOutcome::Picked(key) => key,
@@ -221,6 +235,25 @@
         request.parts[index].state = PartState::Failed;
     }
 
+    /// Time after which an attempt is hedged, not counting the network round trip: the delay of the route,
+    /// and longer where a reply is expected later.
+    fn hedge_delay(
+        &self,
+        now: TimePoint,
+        request: &PendingRequest,
+        service: usize,
+        sent: &SentAttempt,
+    ) -> Duration {
+        let by_work = self.registry.services[service].reports_load;
+        if !self.registry.settings.work.hedges || !by_work {
+            return request.hedge_delay;
+        }
+        let expected = Duration::from_secs_f64(f64::from(sent.expected_ms) / 1000.0);
+        let longest = request.goal_at.since(now).mul_f64(HEDGE_WAIT_SHARE);
+        let delay = expected.mul_f64(HEDGE_EXPECTED_FACTOR);
+        delay.min(longest).max(request.hedge_delay)
+    }
+
     fn send_attempt(
         &mut self,
         now: TimePoint,
@@ -249,12 +282,18 @@
             }));
         }
         self.record_suspect_send(now, request, index, key, actions);
+        let service = request.parts[index].service;
+        let terms = self
+            .registry
+            .cost_terms(service, Some(&request.spec().name));
+        let (sent, expected) = self.registry.expected_attempt(now, key, attempt, &terms);
+        self.registry.record_send(key, sent);
+        let hedge_delay = self.hedge_delay(now, request, service, &sent);
         let part = &mut request.parts[index];
         part.sent = true;
         part.tried.push(key);
         part.in_flight.push(attempt);
-        part.check_at = now + request.hedge_delay + self.registry.round_trip(key);
-        self.registry.record_send(now, key, attempt);
+        part.check_at = now + hedge_delay + self.registry.round_trip(key);
         self.reach.record_send(now, key);
         self.attempts.insert(
             attempt,
@@ -265,6 +304,7 @@
                 replica: key,
                 route: request.spec().name.clone(),
                 sent_at: now,
+                expected,
                 expires_at: TimePoint::NEVER,
             },
         );
@@ -317,10 +357,12 @@
             return;
         };
         actions.push(ForwardAction::Cancel { attempt });
-        if self
-            .registry
-            .record_abandoned(now, context.replica, now.since(context.sent_at))
-        {
+        if self.registry.record_abandoned(
+            now,
+            context.replica,
+            now.since(context.sent_at),
+            &context.expected,
+        ) {
             let replica = context.replica;
             actions.push(ForwardAction::CloseIdle { replica });
         }
--- a/policy/src/forward/attempt_results.rs
+++ b/policy/src/forward/attempt_results.rs
@@ -43,6 +43,13 @@
             if let Some(state) = self.routes.get_mut(&context.route) {
                 state.latency.record(service_time);
             }
+            self.registry.record_work(
+                now,
+                context.replica,
+                &context.route,
+                service_time,
+                context.expected,
+            );
             if let Some(record) = self
                 .registry
                 .records
--- a/policy/src/forward/forward_engine.rs
+++ b/policy/src/forward/forward_engine.rs
@@ -36,6 +36,7 @@
     reach_monitor::ReachMonitor,
     relay_dispatch::RelayContext,
     relay_intake::RelayIntake,
+    replica_record::ExpectedRun,
     route_state::RouteState,
     CrashTable,
     ForwardAction,
@@ -74,6 +75,8 @@
     pub(super) route: RouteName,
     /// When the attempt was sent.
     pub(super) sent_at: TimePoint,
+    /// What was expected of it.
+    pub(super) expected: ExpectedRun,
     /// When the attempt is cancelled if its request no longer needs it; `NEVER` while it is needed.
     pub(super) expires_at: TimePoint,
 }
--- a/policy/src/forward/limit_evidence.rs
+++ b/policy/src/forward/limit_evidence.rs
@@ -128,8 +128,12 @@
         }
         for part in &request.parts {
             if part.state == PartState::Open {
-                self.registry
-                    .held_back(now, part.service, &request.placement);
+                self.registry.held_back(
+                    now,
+                    part.service,
+                    &request.spec().name,
+                    &request.placement,
+                );
             }
         }
         self.log_held_back(now, request.query, key, "refused", actions);
--- a/policy/src/forward/replica_choice.rs
+++ b/policy/src/forward/replica_choice.rs
@@ -7,12 +7,12 @@
 
 use rand::Rng;
 use schema::{
+    RouteName,
     ServiceName,
     TimePoint, //
 };
 
 use super::{
-    replica_registry::service_median_ms,
     ReplicaKey,
     ReplicaRegistry, //
 };
@@ -46,9 +46,21 @@
         service: usize,
         placement: &RequestPlacement,
         tried: &[ReplicaKey],
+    ) -> PickOutcome {
+        self.pick_for(now, service, None, placement, tried)
+    }
+
+    /// Chooses the replica with the lowest cost for a request of `route`.
+    pub(super) fn pick_for(
+        &mut self,
+        now: TimePoint,
+        service: usize,
+        route: Option<&RouteName>,
+        placement: &RequestPlacement,
+        tried: &[ReplicaKey],
     ) -> PickOutcome {
         let state = &self.services[service];
-        let median_ms = service_median_ms(state);
+        let terms = self.cost_terms(service, route);
         let limit = self.connection_limit(now, state);
         let mut random = self.random.clone();
         let mut best: Option<(f64, ReplicaKey, bool)> = None;
@@ -71,15 +83,16 @@
             let on_trial = record.is_on_trial();
             let busy = record.in_flight.len() >= limit || on_trial;
             let wait_ms = match busy {
-                true if on_trial => median_ms + TRIAL_COST_MS,
-                true => median_ms,
+                true if on_trial => terms.slot_wait_ms() + TRIAL_COST_MS,
+                true => terms.slot_wait_ms(),
                 false => 0.0,
             };
+            // A fixed preference orders remote replicas, so that this daemon keeps to one of them.
             let random_cost = match record.distance_cost_ms > 0.0 {
                 true => 0.0,
-                false => random.random_range(0.0..RANDOM_SPREAD_MS),
+                false => random.random_range(0.0..RANDOM_SPREAD_MS.max(terms.random_spread_ms())),
             };
-            let cost = record.cost(now, median_ms) + wait_ms + random_cost;
+            let cost = record.cost(now, &terms) + wait_ms + random_cost;
             if best.is_none_or(|(least, _, _)| cost < least) {
                 best = Some((cost, key, busy));
             }
@@ -101,16 +114,16 @@
         &mut self,
         now: TimePoint,
         service: usize,
+        route: &RouteName,
         placement: &RequestPlacement,
     ) -> Option<ReplicaKey> {
         if self.limits.is_empty() {
             return None;
         }
-        let state = &self.services[service];
-        let median_ms = service_median_ms(state);
+        let terms = self.cost_terms(service, Some(route));
         let candidates = self.candidates(service, placement);
         let usable = candidates.filter(|(_, record)| record.is_usable(now));
-        let costs = usable.map(|(key, record)| (record.cost(now, median_ms), key));
+        let costs = usable.map(|(key, record)| (record.cost(now, &terms), key));
         let (_, best) = costs.min_by(|(a, _), (b, _)| a.total_cmp(b))?;
         let wait = self.limits.time_to_send(now, best)?;
         if wait.is_zero() {
--- a/policy/src/forward/replica_record.rs
+++ b/policy/src/forward/replica_record.rs
@@ -11,6 +11,7 @@
 use smallvec::SmallVec;
 
 use super::statement_table::KeptStatements;
+use crate::work::ReplicaWork;
 
 /// Identifies a replica within this process. A replica that restarts under the same name gets a new
 /// key.
@@ -42,11 +43,82 @@
 const SILENT_PERIOD: Duration = Duration::from_millis(280);
 /// Assumed number of requests from other daemons at a replica for each request from this one.
 const OTHER_DAEMONS_LOAD: f64 = 2.0;
+/// Ratio of the expected wait to the work ahead per slot, where all slots are taken. Chosen in the model
+/// (docs/design/work.md): arrivals are random, so that a queue is longer than its mean suggests.
+const WAIT_FACTOR: f64 = 3.0;
+/// Random share of the mean work that is added to costs. More of it gave up speed in the model, where a
+/// daemon's own figures differ from those of others anyway.
+const RANDOM_SPREAD: f64 = 0.1;
+/// Ratio of the wait for a connection in use to the mean work. With 1, a tenth of the requests of a loaded
+/// service queued for one replica while others had room.
+const SLOT_WAIT_FACTOR: f64 = 4.0;
+/// Share of the expected work of an attempt that is assumed to be left, however long it has run.
+const WORK_LEFT_MIN: f64 = 0.3;
 /// Backoff after the first failed connection to a replica.
 const BACKOFF_INITIAL: Duration = Duration::from_millis(250);
 /// The backoff doubles with each further failed connection, at most this many times.
 const BACKOFF_DOUBLINGS_MAX: u32 = 3;
 
+/// An attempt in flight at a replica.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SentAttempt {
+    /// The attempt.
+    pub(super) attempt: AttemptId,
+    /// When it was sent.
+    pub(super) sent_at: TimePoint,
+    /// Its expected work, in milliseconds.
+    pub(super) work_ms: f32,
+    /// The time without the network after which a reply was expected, in milliseconds.
+    pub(super) expected_ms: f32,
+}
+
+/// What was expected of an attempt when it was sent.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ExpectedRun {
+    /// How long it would wait for a slot of the replica.
+    pub(super) wait: Duration,
+    /// Its work, in milliseconds.
+    pub(super) work_ms: f64,
+    /// The slowness that the replica stated.
+    pub(super) slowness: f64,
+}
+
+impl SentAttempt {
+    /// Its work that is expected to be left, in milliseconds.
+    fn work_left(&self, now: TimePoint) -> f64 {
+        let work_ms = f64::from(self.work_ms);
+        let elapsed = now.since(self.sent_at).as_secs_f64() * 1000.0;
+        (work_ms - elapsed).max(work_ms * WORK_LEFT_MIN)
+    }
+}
+
+/// The terms on which the replicas of a service are compared for a request.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct CostTerms {
+    /// Median latency of the service without the network round trip, in milliseconds.
+    pub(super) median_ms: f64,
+    /// Expected work of the request and mean work of all requests, in milliseconds; `None` if replicas are
+    /// compared by their average latency.
+    pub(super) work: Option<(f64, f64)>,
+}
+
+impl CostTerms {
+    /// Range of the random cost that keeps daemons with the same figures from choosing the same replica,
+    /// in milliseconds.
+    pub(super) fn random_spread_ms(&self) -> f64 {
+        self.work
+            .map_or(0.0, |(_, mean_ms)| mean_ms * RANDOM_SPREAD)
+    }
+
+    /// Expected wait until a connection of a replica is free, in milliseconds.
+    pub(super) fn slot_wait_ms(&self) -> f64 {
+        let by_work = self
+            .work
+            .map_or(0.0, |(_, mean_ms)| mean_ms * SLOT_WAIT_FACTOR);
+        by_work.max(self.median_ms)
+    }
+}
+
 /// State of one replica.
 #[derive(Clone, Debug)]
 pub(super) struct ReplicaRecord {
@@ -64,8 +136,10 @@
     pub(super) listed: bool,
     /// Whether the replica's data centre is evacuated.
     pub(super) evacuated: bool,
-    /// Attempts in flight with the times when they were sent, oldest first.
-    pub(super) in_flight: SmallVec<[(AttemptId, TimePoint); 4]>,
+    /// Attempts in flight, oldest first.
+    pub(super) in_flight: SmallVec<[SentAttempt; 4]>,
+    /// The replica's load and speed.
+    pub(super) work: ReplicaWork,
     /// What the replica has said of itself.
     pub(super) statements: KeptStatements,
     /// End of the backoff: the replica gets no new requests before this time.
@@ -95,6 +169,7 @@
             listed: true,
             evacuated: false,
             in_flight: SmallVec::new(),
+            work: ReplicaWork::default(),
             statements: KeptStatements::default(),
             avoid_until: TimePoint(0),
             last_reply_at: TimePoint(0),
@@ -129,22 +204,18 @@
         self.listed && !self.evacuated && !leaves
     }
 
-    /// Records that an attempt was sent.
-    pub(super) fn record_send(&mut self, now: TimePoint, attempt: AttemptId) {
-        self.in_flight.push((attempt, now));
-    }
-
     /// Forgets the failures of a time in which this daemon had lost its links to all replicas.
     pub(super) fn forgive(&mut self, now: TimePoint) {
         self.avoid_until = TimePoint(0);
         self.connect_failures = 0;
         self.failures = (now, 0.0);
         self.latency = None;
+        self.work.forgive(now);
     }
 
     /// Records the end of an attempt.
     pub(super) fn record_end(&mut self, attempt: AttemptId) {
-        self.in_flight.retain(|(known, _)| *known != attempt);
+        self.in_flight.retain(|sent| sent.attempt != attempt);
     }
 
     /// Records a reply after `latency`; returns whether a connection to the replica had failed
@@ -191,19 +262,63 @@
         waited >= SILENT_PERIOD && now.since(self.last_reply_at) >= waited
     }
 
-    /// Whether the replica has sent no reply for longer than its oldest attempt is expected to
-    /// take.
-    pub(super) fn is_stalled(&self, now: TimePoint, median_ms: f64) -> bool {
-        let Some((_, oldest)) = self.in_flight.first() else {
-            return false;
+    /// Whether the replica has sent no reply for longer than one of its attempts is expected to take.
+    pub(super) fn is_stalled(&self, now: TimePoint, terms: &CostTerms) -> bool {
+        let is_overdue = |sent: &SentAttempt, expected_ms: f64| {
+            let silent = now
+                .since(sent.sent_at.max(self.last_reply_at))
+                .as_secs_f64()
+                * 1000.0;
+            silent > self.round_trip_ms + expected_ms * STALL_FACTOR + STALL_MARGIN_MS
         };
-        let silent = now.since((*oldest).max(self.last_reply_at)).as_secs_f64() * 1000.0;
-        silent > self.round_trip_ms + median_ms * STALL_FACTOR + STALL_MARGIN_MS
+        match terms.work {
+            Some(_) => {
+                let mut attempts = self.in_flight.iter();
+                attempts.any(|sent| is_overdue(sent, f64::from(sent.expected_ms)))
+            }
+            None => {
+                let oldest = self.in_flight.first();
+                oldest.is_some_and(|oldest| is_overdue(oldest, terms.median_ms))
+            }
+        }
     }
 
     /// Expected latency of a new request in milliseconds, plus penalties for failures, stalls and
-    /// distance. `median_ms` is the median latency of the service without the network round trip.
-    pub(super) fn cost(&self, now: TimePoint, median_ms: f64) -> f64 {
+    /// distance.
+    pub(super) fn cost(&self, now: TimePoint, terms: &CostTerms) -> f64 {
+        let base = match terms.work {
+            Some((work_ms, mean_ms)) => {
+                let completion = self.completion_ms(now, work_ms, mean_ms);
+                self.round_trip_ms + completion.0 + completion.1
+            }
+            None => self.average_cost(now, terms.median_ms),
+        };
+        let failing = self.failure_rate(now) * FAILURE_COST_MS;
+        let stalled = if self.is_stalled(now, terms) {
+            STALL_COST_MS
+        } else {
+            0.0
+        };
+        base + failing + stalled + self.distance_cost_ms
+    }
+
+    /// Expected wait for a slot and expected time of execution of a request, in milliseconds. `work_ms`
+    /// is the expected work of the request, `mean_ms` that of other requests.
+    pub(super) fn completion_ms(&self, now: TimePoint, work_ms: f64, mean_ms: f64) -> (f64, f64) {
+        let own: f64 = self.in_flight.iter().map(|sent| sent.work_left(now)).sum();
+        let ahead = own + self.work.others(now, self.in_flight.len()) * mean_ms;
+        let slots = self.work.slots(self.entry.slots);
+        let slowness = self.work.slowness(now);
+        let cold = if now < self.cold_until { work_ms } else { 0.0 };
+        // Little work ahead finds a free slot; much of it waits for the slots in turn.
+        let filled = ahead / (ahead + slots * mean_ms).max(f64::MIN_POSITIVE);
+        let wait_ms = WAIT_FACTOR * ahead * filled * slowness / slots;
+        (wait_ms, work_ms * slowness + cold)
+    }
+
+    /// Expected latency of a new request in milliseconds by the average latency of the replica.
+    /// `median_ms` is the median latency of the service without the network round trip.
+    fn average_cost(&self, now: TimePoint, median_ms: f64) -> f64 {
         let expected = self.round_trip_ms + median_ms;
         let base = match self.latency {
             Some((at, average)) if average > expected => {
@@ -219,13 +334,7 @@
         } else {
             0.0
         };
-        let failing = self.failure_rate(now) * FAILURE_COST_MS;
-        let stalled = if self.is_stalled(now, median_ms) {
-            STALL_COST_MS
-        } else {
-            0.0
-        };
-        base + queued + cold + failing + stalled + self.distance_cost_ms
+        base + queued + cold
     }
 
     fn record_latency(&mut self, now: TimePoint, latency: Duration) {
--- a/policy/src/forward/replica_registry.rs
+++ b/policy/src/forward/replica_registry.rs
@@ -14,8 +14,10 @@
     AttemptId,
     DaemonName,
     ReplicaEntry,
+    ReplicaLoad,
     ReplicaName,
     RequestRate,
+    RouteName,
     ServiceName,
     TimePoint,
     ZoneName, //
@@ -25,7 +27,12 @@
 
 use super::{
     limit_table::LimitTable,
-    replica_record::ReplicaRecord,
+    replica_record::{
+        CostTerms,
+        ExpectedRun,
+        ReplicaRecord,
+        SentAttempt, //
+    },
     service_state::ServiceState,
     statement_table::StatementTable,
     ForwardSettings,
@@ -34,7 +41,10 @@
     ReplicaKey,
     RetryBudget, //
 };
-use crate::places::RequestPlacement;
+use crate::{
+    places::RequestPlacement,
+    work::ServiceWork, //
+};
 
 /// Assumed round-trip time within a data centre.
 const ROUND_TRIP_ZONE_MS: f64 = 0.5;
@@ -70,6 +80,14 @@
 /// hold connections to few replicas.
 const PREFERENCE_SPREAD_MS: f64 = 4.0;
 
+/// Shortest time without the network round trip that a reply counts with, in milliseconds.
+const SERVICE_TIME_MIN_MS: f64 = 0.1;
+/// Delays of links and daemons up to about this time say nothing about the speed of a replica, in
+/// milliseconds.
+const DELAY_NOISE_MS: f64 = 2.0;
+/// Smallest share of the time of execution in the time until a reply, whatever wait was expected.
+const RUN_SHARE_MIN: f64 = 0.3;
+
 /// All known replicas by service.
 #[derive(Debug)]
 pub struct ReplicaRegistry {
@@ -140,6 +158,8 @@
             ),
             queue: PartQueue::default(),
             latency: LatencySketch::default(),
+            work: ServiceWork::default(),
+            reports_load: false,
             max_connections: DEFAULT_CONNECTIONS,
             sharers: None,
             gathered_elsewhere: false,
@@ -250,10 +270,30 @@
         Duration::from_secs_f64(service_median_ms(&self.services[service]) / 1000.0)
     }
 
+    /// The terms on which replicas of a service are compared for a request of `route`, or for one of
+    /// average work.
+    pub(super) fn cost_terms(&self, service: usize, route: Option<&RouteName>) -> CostTerms {
+        let state = &self.services[service];
+        let median_ms = service_median_ms(state);
+        // Without reports the load by other daemons is a guess, and the average latency does as well.
+        if !self.settings.work.choice || !state.reports_load {
+            return CostTerms {
+                median_ms,
+                work: None,
+            };
+        }
+        let mean_ms = state.work.mean_ms(median_ms);
+        let work_ms = route.map_or(mean_ms, |route| state.work.work_ms(route, median_ms));
+        CostTerms {
+            median_ms,
+            work: Some((work_ms, mean_ms)),
+        }
+    }
+
     /// Records that an attempt was sent.
-    pub(super) fn record_send(&mut self, now: TimePoint, key: ReplicaKey, attempt: AttemptId) {
+    pub(super) fn record_send(&mut self, key: ReplicaKey, sent: SentAttempt) {
         if let Some(record) = self.records.get_mut(&key) {
-            record.record_send(now, attempt);
+            record.in_flight.push(sent);
         }
     }
 
@@ -278,6 +318,67 @@
         (service_time, recovered)
     }
 
+    /// An attempt that is about to be sent to a replica, and its expected wait for a slot.
+    pub(super) fn expected_attempt(
+        &self,
+        now: TimePoint,
+        key: ReplicaKey,
+        attempt: AttemptId,
+        terms: &CostTerms,
+    ) -> (SentAttempt, ExpectedRun) {
+        let (work_ms, mean_ms) = terms.work.unwrap_or((terms.median_ms, terms.median_ms));
+        let record = self.records.get(&key);
+        let completion = record.map(|record| record.completion_ms(now, work_ms, mean_ms));
+        let (wait_ms, run_ms) = completion.unwrap_or((0.0, work_ms));
+        let sent = SentAttempt {
+            attempt,
+            sent_at: now,
+            work_ms: work_ms as f32,
+            expected_ms: (wait_ms + run_ms) as f32,
+        };
+        let expected = ExpectedRun {
+            wait: Duration::from_secs_f64(wait_ms / 1000.0),
+            work_ms,
+            slowness: record.map_or(1.0, |record| record.work.stated_slowness(now)),
+        };
+        (sent, expected)
+    }
+
+    /// Records the work of a request of `route` that a replica has executed in `service_time`, which was
+    /// expected to go as `expected` says.
+    pub(super) fn record_work(
+        &mut self,
+        now: TimePoint,
+        key: ReplicaKey,
+        route: &RouteName,
+        service_time: Duration,
+        expected: ExpectedRun,
+    ) {
+        let Some(record) = self.records.get_mut(&key) else {
+            return;
+        };
+        let state = &mut self.services[record.service];
+        // The round trip is an assumption, which a short reply may fall below.
+        let total_ms = (service_time.as_secs_f64() * 1000.0).max(SERVICE_TIME_MIN_MS);
+        let wait_ms = expected.wait.as_secs_f64() * 1000.0;
+        let run_ms = (total_ms - wait_ms).max(total_ms * RUN_SHARE_MIN);
+        let work_ms = state.work.work_ms(route, run_ms);
+        state
+            .work
+            .record(route, run_ms / record.work.stated_slowness(now));
+        let ratio = (run_ms + DELAY_NOISE_MS) / (work_ms + DELAY_NOISE_MS);
+        record.work.record_ratio(now, ratio, expected.slowness);
+    }
+
+    /// Takes over the load that a replica reports.
+    pub(super) fn record_load(&mut self, now: TimePoint, key: ReplicaKey, load: ReplicaLoad) {
+        if let Some(record) = self.records.get_mut(&key) {
+            let own = record.in_flight.len();
+            record.work.record_report(now, load, own);
+            self.services[record.service].reports_load = true;
+        }
+    }
+
     /// Records a failed attempt.
     pub(super) fn record_failure(&mut self, now: TimePoint, key: ReplicaKey) {
         if let Some(record) = self.records.get_mut(&key) {
@@ -305,10 +406,14 @@
         now: TimePoint,
         key: ReplicaKey,
         waited: Duration,
+        expected: &ExpectedRun,
     ) -> bool {
         let Some(record) = self.records.get_mut(&key) else {
             return false;
         };
+        let run_ms = waited.saturating_sub(expected.wait).as_secs_f64() * 1000.0;
+        let ratio = (run_ms - record.round_trip_ms) / (expected.work_ms + DELAY_NOISE_MS);
+        record.work.record_abandoned(now, ratio);
         record.record_abandoned(now, waited);
         record.is_silent(now, waited)
     }
--- a/policy/src/forward/replica_statements.rs
+++ b/policy/src/forward/replica_statements.rs
@@ -1,7 +1,10 @@
 //! What a replica says of itself in a reply.
 
 use compact_str::CompactString;
-use schema::RestPeriod;
+use schema::{
+    ReplicaLoad,
+    RestPeriod, //
+};
 use smallvec::SmallVec;
 
 use super::LimitStatement;
@@ -11,6 +14,8 @@
 pub struct ReplicaStatements {
     /// What it says about the requests that it takes from all daemons together.
     pub limit: LimitStatement,
+    /// Its load when it sent the reply.
+    pub load: Option<ReplicaLoad>,
     /// Whether it says that it leaves.
     pub leaving: bool,
     /// The rest from this daemon that it asks for.
@@ -22,7 +27,7 @@
 /// A statement with a value that can't be read.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct UnreadableStatement {
-    /// What it is about: `leaving` or `rest`.
+    /// What it is about: `leaving`, `load` or `rest`.
     pub subject: &'static str,
     /// The value, shortened.
     pub value: CompactString,
--- a/policy/src/forward/service_state.rs
+++ b/policy/src/forward/service_state.rs
@@ -8,6 +8,7 @@
     ReplicaKey,
     RetryBudget, //
 };
+use crate::work::ServiceWork;
 
 /// The state of a service, which all routes to it share.
 #[derive(Clone, Debug)]
@@ -22,6 +23,10 @@
     pub(super) queue: PartQueue,
     /// Latencies of the replies without the network round trip.
     pub(super) latency: LatencySketch,
+    /// Expected work of its requests by route.
+    pub(super) work: ServiceWork,
+    /// Whether a replica of the service has reported its load.
+    pub(super) reports_load: bool,
     /// Number of connections that each replica accepts from all daemons together.
     pub(super) max_connections: u32,
     /// Number of daemons that share these connections, if this one is among the few that gather for the
--- a/policy/src/forward/statement_evidence.rs
+++ b/policy/src/forward/statement_evidence.rs
@@ -47,6 +47,9 @@
         }
         let statements = &reply.statements;
         self.record_limit(now, context, &statements.limit, actions);
+        if let Some(load) = statements.load {
+            self.registry.record_load(now, context.replica, load);
+        }
         if statements.leaving {
             self.record_leaving(now, context.replica, actions);
         }
--- a/policy/src/work/work_settings.rs
+++ b/policy/src/work/work_settings.rs
@@ -1,19 +1,13 @@
 //! Switches for the parts of the work-aware forwarding.
 
 /// Names of the parts, as [`WorkSettings::without`] takes them.
-pub const WORK_PARTS: [&str; 5] = ["choice", "queues", "admission", "shards", "hedges"];
+pub const WORK_PARTS: [&str; 2] = ["choice", "hedges"];
 
 /// Which parts are in use. All are by default; a part is switched off only to measure its effect.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct WorkSettings {
     /// Replicas are chosen by the expected completion of the request.
     pub choice: bool,
-    /// Queues are ordered by priority and fairly between accounts.
-    pub queues: bool,
-    /// Requests are admitted by priority and fairly between accounts.
-    pub admission: bool,
-    /// Unavailable shards are not waited for.
-    pub shards: bool,
     /// Hedge delays follow the expected completion at the replica.
     pub hedges: bool,
 }
@@ -22,9 +16,6 @@
     fn default() -> Self {
         Self {
             choice: true,
-            queues: true,
-            admission: true,
-            shards: true,
             hedges: true,
         }
     }
@@ -35,9 +26,6 @@
     pub fn none() -> Self {
         Self {
             choice: false,
-            queues: false,
-            admission: false,
-            shards: false,
             hedges: false,
         }
     }
@@ -53,9 +41,6 @@
             match name {
                 "" => {}
                 "choice" => settings.choice = false,
-                "queues" => settings.queues = false,
-                "admission" => settings.admission = false,
-                "shards" => settings.shards = false,
                 "hedges" => settings.hedges = false,
                 unknown => return Err(unknown.to_owned()),
             }
--- a/policy/tests/work_model/mod.rs
+++ b/policy/tests/work_model/mod.rs
@@ -26,6 +26,7 @@
         ForwardReply,
         ForwardSettings,
         LoggedEvent,
+        ReplicaStatements,
         RequestIdentity,
         RouteIndex, //
     },
@@ -43,6 +44,7 @@
     CpuCapacity,
     QueryId,
     ReplicaEntry,
+    ReplicaLoad,
     RouteSpec,
     RouteTable,
     RouteTarget,
@@ -51,9 +53,12 @@
 
 const START_US: u64 = 1_000_000_000;
 const ZONES: [&str; 3] = ["a", "b", "c"];
-/// One-way delays within a data centre and between two of them.
+/// The regions of the zones.
+const REGIONS: [&str; 3] = ["x", "x", "y"];
+/// One-way delays within a data centre, within a region and between regions.
 const NEAR_US: u64 = 200;
-const FAR_US: u64 = 8_000;
+const REGION_US: u64 = 4_000;
+const REMOTE_US: u64 = 12_000;
 
 pub(crate) fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -150,6 +155,8 @@
     pub(crate) reports_load: bool,
     pub(crate) connections: u32,
     pub(crate) seed: u64,
+    /// Number of runs, with seeds from `seed` on, whose results are added up.
+    pub(crate) runs: u64,
 }
 
 impl Default for Load {
@@ -163,6 +170,7 @@
             reports_load: true,
             connections: 48,
             seed: 1,
+            runs: 3,
         }
     }
 }
@@ -203,6 +211,22 @@
 }
 
 impl Report {
+    fn add(&mut self, other: Report) {
+        for (name, result) in other.kinds {
+            let sum = self.kinds.entry(name).or_default();
+            sum.sent += result.sent;
+            sum.in_goal += result.in_goal;
+            sum.refused += result.refused;
+            sum.failed += result.failed;
+            sum.latencies.extend(result.latencies);
+            sum.latencies.sort();
+        }
+        self.first_attempts += other.first_attempts;
+        self.extra_attempts += other.extra_attempts;
+        self.logged.extend(other.logged);
+        self.refused_after.extend(other.refused_after);
+    }
+
     pub(crate) fn kind(&self, name: &str) -> &KindResult {
         &self.kinds[name]
     }
@@ -233,7 +257,14 @@
         ("least", Chooser::LeastInFlight),
     ];
     choosers.map(|(name, chooser)| {
-        let report = Simulation::new(load, chooser).run();
+        let mut report = Report::default();
+        for seed in 0..load.runs {
+            let load = Load {
+                seed: load.seed + seed,
+                ..load.clone()
+            };
+            report.add(Simulation::new(&load, chooser).run());
+        }
         report.print(&format!("{title}, {name}"));
         report
     })
@@ -346,7 +377,8 @@
                 homes: Default::default(),
             }))
         });
-        let regions = ZONES.map(|zone| (zone.parse().unwrap(), zone.parse().unwrap()));
+        let zones = [0, 1, 2].map(|zone| (ZONES[zone], REGIONS[zone]));
+        let regions = zones.map(|(zone, region)| (zone.parse().unwrap(), region.parse().unwrap()));
         let engines = (0..load.daemons).map(|daemon| {
             ForwardEngine::new(ForwardSettings {
                 daemon: format!("d{daemon}").parse().unwrap(),
@@ -530,9 +562,11 @@
     }
 
     fn delay(&self, daemon: usize, replica: usize) -> u64 {
-        match daemon % 3 == self.load.replicas[replica].zone {
+        let (here, there) = (daemon % 3, self.load.replicas[replica].zone);
+        match here == there {
             true => NEAR_US,
-            false => FAR_US,
+            false if REGIONS[here] == REGIONS[there] => REGION_US,
+            false => REMOTE_US,
         }
     }
 
@@ -647,8 +681,19 @@
         }
     }
 
-    fn reply_of(&self, attempt: AttemptId, not_run: bool, _load: [u32; 4]) -> ForwardReply {
+    fn reply_of(&self, attempt: AttemptId, not_run: bool, load: [u32; 4]) -> ForwardReply {
+        let [running, waiting, slots, slowness] = load.map(f64::from);
+        let load = ReplicaLoad {
+            running,
+            waiting,
+            slots,
+            slowness: Some(slowness / 100.0),
+        };
         ForwardReply {
+            statements: ReplicaStatements {
+                load: Some(load).filter(|_| self.load.reports_load),
+                ..ReplicaStatements::default()
+            },
             status: if not_run { 503 } else { 200 },
             not_run,
             stamp: Some(format!("stamp-{attempt}").into()),
--- a/schema/src/lib.rs
+++ b/schema/src/lib.rs
@@ -53,6 +53,7 @@
 mod numbers;
 mod query_print;
 mod replica_entry;
+mod replica_load;
 mod request_rate;
 mod rest_period;
 mod route_spec;
@@ -131,6 +132,10 @@
 };
 pub use query_print::QueryPrint;
 pub use replica_entry::ReplicaEntry;
+pub use replica_load::{
+    LoadError,
+    ReplicaLoad, //
+};
 pub use request_rate::{
     RateError,
     RequestRate, //
