--- a/policy/src/forward/forward_settings.rs
+++ b/policy/src/forward/forward_settings.rs
@@ -14,7 +14,8 @@
 
 use crate::{
     places::ColdBounds,
-    rates::RateBounds, //
+    rates::RateBounds,
+    work::WorkSettings, //
 };
 
 /// Settings that are fixed when the engine is created.
@@ -43,6 +44,8 @@
     pub quota_bounds: Option<RateBounds>,
     /// How far rates of cold replicas may be exceeded; `None` if the deployment has none.
     pub cold_bounds: Option<ColdBounds>,
+    /// Parts of the work-aware forwarding that are in use.
+    pub work: WorkSettings,
 }
 
 impl Default for ForwardSettings {
@@ -59,6 +62,7 @@
             incarnation: 0,
             quota_bounds: None,
             cold_bounds: None,
+            work: WorkSettings::default(),
         }
     }
 }
--- a/policy/src/forward/replica_choice.rs
+++ b/policy/src/forward/replica_choice.rs
@@ -7,13 +7,13 @@
 
 use rand::Rng;
 use schema::{
+    RouteName,
     ServiceName,
     TimePoint, //
 };
 use smallvec::SmallVec;
 
 use super::{
-    replica_registry::service_median_ms,
     ReplicaKey,
     ReplicaRegistry, //
 };
@@ -44,8 +44,8 @@
 }
 
 impl ReplicaRegistry {
-    /// Chooses the replica of `service` with the lowest cost, other than those in `tried`, those that have
-    /// reached their limits and cold ones that `rates` gives no request.
+    /// Chooses the replica of `service` with the lowest cost for a request of average work, other than those
+    /// in `tried`, those that have reached their limits and cold ones that `rates` gives no request.
     pub fn pick(
         &mut self,
         now: TimePoint,
@@ -53,10 +53,23 @@
         placement: &RequestPlacement,
         tried: &[ReplicaKey],
         rates: &mut RateTable,
+    ) -> PickOutcome {
+        self.pick_for(now, service, None, placement, tried, rates)
+    }
+
+    /// The same for a request of `route`.
+    pub(super) fn pick_for(
+        &mut self,
+        now: TimePoint,
+        service: usize,
+        route: Option<&RouteName>,
+        placement: &RequestPlacement,
+        tried: &[ReplicaKey],
+        rates: &mut RateTable,
     ) -> PickOutcome {
         let mut excluded: SmallVec<[ReplicaKey; 8]> = tried.iter().copied().collect();
         loop {
-            match self.cheapest(now, service, placement, &excluded) {
+            match self.cheapest(now, service, route, placement, &excluded) {
                 PickOutcome::Picked(key) if !self.admit_cold(now, key, rates) => {
                     excluded.push(key);
                 }
@@ -68,15 +81,17 @@
         }
     }
 
+    /// Chooses the replica with the lowest cost, whether it is cold or not.
     fn cheapest(
         &mut self,
         now: TimePoint,
         service: usize,
+        route: Option<&RouteName>,
         placement: &RequestPlacement,
         tried: &[ReplicaKey],
     ) -> PickOutcome {
         let state = &self.services[service];
-        let median_ms = service_median_ms(state);
+        let terms = self.cost_terms(service, route);
         let limit = self.connection_limit(now, state);
         let mut random = self.random.clone();
         let mut best: Option<(f64, ReplicaKey, bool)> = None;
@@ -99,15 +114,16 @@
             let on_trial = record.is_on_trial();
             let busy = record.in_flight.len() >= limit || on_trial;
             let wait_ms = match busy {
-                true if on_trial => median_ms + TRIAL_COST_MS,
-                true => median_ms,
+                true if on_trial => terms.slot_wait_ms() + TRIAL_COST_MS,
+                true => terms.slot_wait_ms(),
                 false => 0.0,
             };
+            // A fixed preference orders remote replicas, so that this daemon keeps to one of them.
             let random_cost = match record.distance_cost_ms > 0.0 {
                 true => 0.0,
-                false => random.random_range(0.0..RANDOM_SPREAD_MS),
+                false => random.random_range(0.0..RANDOM_SPREAD_MS.max(terms.random_spread_ms())),
             };
-            let cost = record.cost(now, median_ms) + wait_ms + random_cost;
+            let cost = record.cost(now, &terms) + wait_ms + random_cost;
             if best.is_none_or(|(least, _, _)| cost < least) {
                 best = Some((cost, key, busy));
             }
@@ -129,16 +145,16 @@
         &mut self,
         now: TimePoint,
         service: usize,
+        route: &RouteName,
         placement: &RequestPlacement,
     ) -> Option<ReplicaKey> {
         if self.limits.is_empty() {
             return None;
         }
-        let state = &self.services[service];
-        let median_ms = service_median_ms(state);
+        let terms = self.cost_terms(service, Some(route));
         let candidates = self.candidates(service, placement);
         let usable = candidates.filter(|(_, record)| record.is_usable(now));
-        let costs = usable.map(|(key, record)| (record.cost(now, median_ms), key));
+        let costs = usable.map(|(key, record)| (record.cost(now, &terms), key));
         let (_, best) = costs.min_by(|(a, _), (b, _)| a.total_cmp(b))?;
         let wait = self.limits.time_to_send(now, best)?;
         if wait.is_zero() {
