--- a/daemon/src/intake/body_reader.rs
+++ b/daemon/src/intake/body_reader.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
-use axum::body::Body;
-use axum::body::HttpBody as _;
+use axum::body::{
+    Body,
+    HttpBody as _, //
+};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use tokio::time::{
--- a/daemon/tests/forward_places.rs
+++ b/daemon/tests/forward_places.rs
@@ -74,7 +74,10 @@
     assert!(west.arrivals().len() > 10);
     let reply = get(&daemon, "/nowhere/x", "n1");
     assert_eq!(reply.status, 503);
-    assert!(daemon.log().contains("\"no_home\""));
+    // The log is written in the background.
+    wait_for("the refusal is logged", || {
+        daemon.log().contains("\"no_home\"")
+    });
     assert_eq!(daemon.log().matches("E7060").count(), 1);
     // The nearer replica still serves the other route.
     assert_eq!(get(&daemon, "/any/x", "a1").status, 200);
@@ -96,7 +99,9 @@
     assert_eq!(east.arrivals().iter().filter(late).count(), 0);
     assert!(daemon.status().contains("\"evacuated\":[\"z1\"]"));
     assert!(daemon.metrics().contains("forward_evacuated 1"));
-    assert!(daemon.log().contains("E7037"));
+    wait_for("the evacuation is logged", || {
+        daemon.log().contains("E7037")
+    });
     // A daemon that starts now must not send requests there either.
     let mut cluster = cluster;
     let late_daemon = cluster.ready_daemon("z1");
@@ -108,12 +113,16 @@
     wait_for("requests are refused", || {
         get(&daemon, "/any/x", "refused").status == 503
     });
-    assert!(daemon.log().contains("\"evacuated\""));
+    wait_for("the refusals are logged", || {
+        daemon.log().contains("\"evacuated\"")
+    });
     let before = west.arrivals().len();
     cluster.store.remove(KEY);
     wait_for("the data centre gets requests again", || {
         get(&daemon, "/any/x", "again").status == 200
     });
-    assert!(daemon.log().contains("E7038"));
+    wait_for("the end of the evacuation is logged", || {
+        daemon.log().contains("E7038")
+    });
     assert_eq!(west.arrivals().len(), before);
 }
