--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -211,9 +211,9 @@
     /// The room for request bytes of a port has run out.
     REQUEST_BYTES_SHORT = "E7072" Warning
         "room for request bytes has run out; refusing requests and dropping those without progress";
-    /// The environment switches parts of the work-aware forwarding off.
-    WORK_PARTS_OFF = "E7080" Warning
-        "environment names parts of the work-aware forwarding to switch off; meant for measurements";
+    /// The environment switches parts of the work-aware forwarding on.
+    WORK_PARTS_ON = "E7080" Warning
+        "environment names parts of the work-aware forwarding to switch on; meant for measurements";
 }
 
 /// Logs an event of the catalogue with its code and the given fields:
--- a/daemon/src/forward/run_forward.rs
+++ b/daemon/src/forward/run_forward.rs
@@ -434,13 +434,13 @@
     let Ok(names) = env::var(WORK_VARIABLE) else {
         return WorkSettings::default();
     };
-    match WorkSettings::without(&names) {
+    match WorkSettings::with(&names) {
         Ok(settings) => {
-            log_event!(log, events::WORK_PARTS_OFF, "parts" => names, "unknown" => "");
+            log_event!(log, events::WORK_PARTS_ON, "parts" => names, "unknown" => "");
             settings
         }
         Err(unknown) => {
-            log_event!(log, events::WORK_PARTS_OFF, "parts" => "", "unknown" => unknown);
+            log_event!(log, events::WORK_PARTS_ON, "parts" => "", "unknown" => unknown);
             WorkSettings::default()
         }
     }
--- a/policy/src/work/work_settings.rs
+++ b/policy/src/work/work_settings.rs
@@ -1,10 +1,11 @@
 //! Switches for the parts of the work-aware forwarding.
 
-/// Names of the parts, as [`WorkSettings::without`] takes them.
+/// Names of the parts, as [`WorkSettings::with`] takes them.
 pub const WORK_PARTS: [&str; 2] = ["choice", "hedges"];
 
-/// Which parts are in use. All are by default; a part is switched off only to measure its effect.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+/// Which parts are in use. None is by default: on the platform, the choice by reported load sent more to
+/// other regions and served fewer requests in time (docs/design/work.md). A part is switched on to measure it.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct WorkSettings {
     /// Replicas are chosen by the expected completion of the request.
     pub choice: bool,
@@ -12,36 +13,27 @@
     pub hedges: bool,
 }
 
-impl Default for WorkSettings {
-    fn default() -> Self {
+impl WorkSettings {
+    /// Settings with all parts.
+    pub fn all() -> Self {
         Self {
             choice: true,
             hedges: true,
         }
     }
-}
-
-impl WorkSettings {
-    /// Settings without any of the parts.
-    pub fn none() -> Self {
-        Self {
-            choice: false,
-            hedges: false,
-        }
-    }
 
-    /// Settings without the parts in a comma-separated list.
+    /// Settings with the parts in a comma-separated list.
     ///
     /// # Errors
     ///
     /// The first name that is not in [`WORK_PARTS`].
-    pub fn without(names: &str) -> Result<Self, String> {
+    pub fn with(names: &str) -> Result<Self, String> {
         let mut settings = Self::default();
         for name in names.split(',').map(str::trim) {
             match name {
                 "" => {}
-                "choice" => settings.choice = false,
-                "hedges" => settings.hedges = false,
+                "choice" => settings.choice = true,
+                "hedges" => settings.hedges = true,
                 unknown => return Err(unknown.to_owned()),
             }
         }
--- a/policy/tests/work_model/mod.rs
+++ b/policy/tests/work_model/mod.rs
@@ -252,8 +252,8 @@
 /// Runs a load with all parts, with none, and with least in flight.
 pub(crate) fn compare(title: &str, load: &Load) -> [Report; 3] {
     let choosers = [
-        ("work", Chooser::Engine(WorkSettings::default())),
-        ("today", Chooser::Engine(WorkSettings::none())),
+        ("work", Chooser::Engine(WorkSettings::all())),
+        ("today", Chooser::Engine(WorkSettings::default())),
         ("least", Chooser::LeastInFlight),
     ];
     choosers.map(|(name, chooser)| {
@@ -389,7 +389,7 @@
                 capacity: CpuCapacity(120),
                 work: match chooser {
                     Chooser::Engine(work) => work,
-                    Chooser::LeastInFlight => WorkSettings::none(),
+                    Chooser::LeastInFlight => WorkSettings::default(),
                 },
                 ..ForwardSettings::default()
             })
