Estimate work only where a part uses it

Every attempt looked up the median latency and the cost terms of its service and route, and every reply updated the estimates of the route and the replica, although both parts that use them are off by default. expected_attempt now builds an estimate only if a part is on, and nothing is recorded for an attempt without one. The choice and the hedges read the estimates only while they are on, so their behaviour is unchanged.

The weight of an old figure was computed twice, by freshness and by decay; freshness now calls decay. WORK_PARTS and the spread of an estimate had no user and are removed. Two comments said that POLLENTALLY_WORK switches parts off; it switches them on.

--- a/daemon/src/forward/run_forward.rs
+++ b/daemon/src/forward/run_forward.rs
@@ -139,7 +139,7 @@
 const STORE_TIMEOUT: Duration = Duration::from_millis(600);
 /// Time for the body of the store's answer; a configuration may be 1 MB and the link slow.
 const STORE_BODY_TIMEOUT: Duration = Duration::from_secs(3);
-/// Names parts of the work-aware forwarding to switch off, separated by commas, for measurements.
+/// Names parts of the work-aware forwarding to switch on, separated by commas, for measurements.
 const WORK_VARIABLE: &str = "POLLENTALLY_WORK";
 /// Key of the messages between daemons. The platform provides no secret; its network is private.
 const PEER_KEY: [u8; 32] = [0; 32];
@@ -429,7 +429,7 @@
         .route(STATUS_PATH, get(status))
 }
 
-/// The parts of the work-aware forwarding that the environment leaves in use.
+/// The parts of the work-aware forwarding that the environment switches on.
 fn work_settings(log: &Logger) -> WorkSettings {
     let Ok(names) = env::var(WORK_VARIABLE) else {
         return WorkSettings::default();
--- a/policy/src/forward/attempt_dispatch.rs
+++ b/policy/src/forward/attempt_dispatch.rs
@@ -293,10 +293,8 @@
         }
         self.record_suspect_send(now, request, index, key, actions);
         let service = request.parts[index].service;
-        let terms = self
-            .registry
-            .cost_terms(service, Some(&request.spec().name));
-        let (sent, expected) = self.registry.expected_attempt(now, key, attempt, &terms);
+        let route = &request.spec().name;
+        let (sent, expected) = self.registry.expected_attempt(now, key, attempt, route);
         self.registry.record_send(key, sent);
         let hedge_delay = self.hedge_delay(now, request, service, &sent);
         let part = &mut request.parts[index];
@@ -371,7 +369,7 @@
             now,
             context.replica,
             now.since(context.sent_at),
-            &context.expected,
+            context.expected.as_ref(),
         ) {
             let replica = context.replica;
             actions.push(ForwardAction::CloseIdle { replica });
--- a/policy/src/forward/attempt_results.rs
+++ b/policy/src/forward/attempt_results.rs
@@ -48,13 +48,11 @@
             if let Some(state) = self.routes.get_mut(&context.route) {
                 state.latency.record(service_time);
             }
-            self.registry.record_work(
-                now,
-                context.replica,
-                &context.route,
-                service_time,
-                context.expected,
-            );
+            if let Some(expected) = context.expected {
+                let route = &context.route;
+                self.registry
+                    .record_work(now, context.replica, route, service_time, expected);
+            }
             if let Some(record) = self
                 .registry
                 .records
--- a/policy/src/forward/forward_engine.rs
+++ b/policy/src/forward/forward_engine.rs
@@ -84,8 +84,8 @@
     pub(super) route: RouteName,
     /// When the attempt was sent.
     pub(super) sent_at: TimePoint,
-    /// What was expected of it.
-    pub(super) expected: ExpectedRun,
+    /// What was expected of it; `None` if work is not estimated.
+    pub(super) expected: Option<ExpectedRun>,
     /// When the attempt is cancelled if its request no longer needs it; `NEVER` while it is needed.
     pub(super) expires_at: TimePoint,
 }
--- a/policy/src/forward/replica_record.rs
+++ b/policy/src/forward/replica_record.rs
@@ -14,7 +14,10 @@
 use crate::{
     places::ColdState,
     rates::RateLimit,
-    work::ReplicaWork, //
+    work::{
+        decay,
+        ReplicaWork, //
+    },
 };
 
 /// Identifies a replica within this process. A replica that restarts under the same name gets a new
@@ -70,9 +73,10 @@
     pub(super) attempt: AttemptId,
     /// When it was sent.
     pub(super) sent_at: TimePoint,
-    /// Its expected work, in milliseconds.
+    /// Its expected work, in milliseconds; 0 if work is not estimated.
     pub(super) work_ms: f32,
-    /// The time without the network after which a reply was expected, in milliseconds.
+    /// The time without the network after which a reply was expected, in milliseconds; 0 if work is not
+    /// estimated.
     pub(super) expected_ms: f32,
 }
 
@@ -365,6 +369,5 @@
 
 /// Weight of an average latency of this age, from 1 (recent) towards 0 (old).
 fn freshness(age: Duration) -> f64 {
-    let stale = age.saturating_sub(LATENCY_FRESH).as_secs_f64();
-    (-stale / LATENCY_DECAY.as_secs_f64()).exp()
+    decay(age, LATENCY_FRESH, LATENCY_DECAY)
 }
--- a/policy/src/forward/replica_registry.rs
+++ b/policy/src/forward/replica_registry.rs
@@ -341,18 +341,29 @@
         (service_time, recovered)
     }
 
-    /// An attempt that is about to be sent to a replica, and its expected wait for a slot.
+    /// An attempt for a request of `route` that is about to be sent to a replica, and what is expected of
+    /// it if work is estimated.
     pub(super) fn expected_attempt(
         &self,
         now: TimePoint,
         key: ReplicaKey,
         attempt: AttemptId,
-        terms: &CostTerms,
-    ) -> (SentAttempt, ExpectedRun) {
-        let (work_ms, mean_ms) = terms.work.unwrap_or((terms.median_ms, terms.median_ms));
+        route: &RouteName,
+    ) -> (SentAttempt, Option<ExpectedRun>) {
         let record = self.records.get(&key);
-        let completion = record.map(|record| record.completion_ms(now, work_ms, mean_ms));
-        let (wait_ms, run_ms) = completion.unwrap_or((0.0, work_ms));
+        let estimated = record.filter(|_| self.settings.work.estimates_work());
+        let Some(record) = estimated else {
+            let sent = SentAttempt {
+                attempt,
+                sent_at: now,
+                work_ms: 0.0,
+                expected_ms: 0.0,
+            };
+            return (sent, None);
+        };
+        let terms = self.cost_terms(record.service, Some(route));
+        let (work_ms, mean_ms) = terms.work.unwrap_or((terms.median_ms, terms.median_ms));
+        let (wait_ms, run_ms) = record.completion_ms(now, work_ms, mean_ms);
         let sent = SentAttempt {
             attempt,
             sent_at: now,
@@ -362,9 +373,9 @@
         let expected = ExpectedRun {
             wait: Duration::from_secs_f64(wait_ms / 1000.0),
             work_ms,
-            slowness: record.map_or(1.0, |record| record.work.stated_slowness(now)),
+            slowness: record.work.stated_slowness(now),
         };
-        (sent, expected)
+        (sent, Some(expected))
     }
 
     /// Records the work of a request of `route` that a replica has executed in `service_time`, which was
@@ -429,14 +440,16 @@
         now: TimePoint,
         key: ReplicaKey,
         waited: Duration,
-        expected: &ExpectedRun,
+        expected: Option<&ExpectedRun>,
     ) -> bool {
         let Some(record) = self.records.get_mut(&key) else {
             return false;
         };
-        let run_ms = waited.saturating_sub(expected.wait).as_secs_f64() * 1000.0;
-        let ratio = (run_ms - record.round_trip_ms) / (expected.work_ms + DELAY_NOISE_MS);
-        record.work.record_abandoned(now, ratio);
+        if let Some(expected) = expected {
+            let run_ms = waited.saturating_sub(expected.wait).as_secs_f64() * 1000.0;
+            let ratio = (run_ms - record.round_trip_ms) / (expected.work_ms + DELAY_NOISE_MS);
+            record.work.record_abandoned(now, ratio);
+        }
         record.record_abandoned(now, waited);
         record.is_silent(now, waited)
     }
--- a/policy/src/work/mod.rs
+++ b/policy/src/work/mod.rs
@@ -6,10 +6,8 @@
 mod work_estimate;
 mod work_settings;
 
+pub(crate) use replica_work::decay;
 pub use replica_work::ReplicaWork;
 pub use service_work::ServiceWork;
 pub use work_estimate::WorkEstimate;
-pub use work_settings::{
-    WorkSettings,
-    WORK_PARTS, //
-};
+pub use work_settings::WorkSettings;
--- a/policy/src/work/replica_work.rs
+++ b/policy/src/work/replica_work.rs
@@ -143,8 +143,8 @@
     }
 }
 
-/// Weight of a figure of this age, from 1 (recent) towards 0 (old).
-fn decay(age: Duration, fresh: Duration, constant: Duration) -> f64 {
+/// Weight of a figure of this age, from 1 while it is fresh towards 0, with a time constant.
+pub(crate) fn decay(age: Duration, fresh: Duration, constant: Duration) -> f64 {
     let stale = age.saturating_sub(fresh).as_secs_f64();
     (-stale / constant.as_secs_f64()).exp()
 }
--- a/policy/src/work/work_estimate.rs
+++ b/policy/src/work/work_estimate.rs
@@ -9,8 +9,6 @@
 const RUN_LONG: u32 = 5;
 /// Largest weight of a sample at the end of a long run.
 const RUN_WEIGHT_MAX: f64 = 0.5;
-/// Weight of a new sample in the mean deviation.
-const SPREAD_WEIGHT: f64 = 0.05;
 /// Shortest work, in milliseconds.
 const WORK_MIN_MS: f64 = 0.05;
 
@@ -19,7 +17,6 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct WorkEstimate {
     work_ms: f64,
-    spread: f64,
     samples: u32,
     /// Number of the latest samples on the same side of the estimate, and whether they were above it.
     run: (u32, bool),
@@ -35,7 +32,6 @@
             return;
         }
         let ratio = (sample_ms / self.work_ms).clamp(1.0 / RATIO_MAX, RATIO_MAX);
-        self.spread += SPREAD_WEIGHT * ((ratio - 1.0).abs().min(1.0) - self.spread);
         let above = ratio > 1.0;
         self.run = match self.run {
             (length, side) if side == above => (length.saturating_add(1), side),
@@ -51,9 +47,4 @@
     pub fn work_ms(&self) -> Option<f64> {
         (self.samples > 0).then_some(self.work_ms)
     }
-
-    /// Mean relative deviation of the samples, from 0 to 1.
-    pub fn spread(&self) -> f64 {
-        self.spread
-    }
 }
--- a/policy/src/work/work_settings.rs
+++ b/policy/src/work/work_settings.rs
@@ -1,8 +1,5 @@
 //! Switches for the parts of the work-aware forwarding.
 
-/// Names of the parts, as [`WorkSettings::with`] takes them.
-pub const WORK_PARTS: [&str; 2] = ["choice", "hedges"];
-
 /// Which parts are in use. None is by default: on the platform, the choice by reported load sent more to
 /// other regions and served fewer requests in time (docs/design/work.md). A part is switched on to measure it.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -22,11 +19,16 @@
         }
     }
 
-    /// Settings with the parts in a comma-separated list.
+    /// Whether a part is in use that needs estimates of the work.
+    pub fn estimates_work(&self) -> bool {
+        self.choice || self.hedges
+    }
+
+    /// Settings with the parts in a comma-separated list: `choice`, `hedges`.
     ///
     /// # Errors
     ///
-    /// The first name that is not in [`WORK_PARTS`].
+    /// The first name of the list that is no part.
     pub fn with(names: &str) -> Result<Self, String> {
         let mut settings = Self::default();
         for name in names.split(',').map(str::trim) {
