Drain refused bodies where they are read

Both callers of the body reader drained a refused body themselves, each with its own match on the reasons. read_body now takes the body, and starts the drain itself when there is no room or the body is too large; answers, time and size limits are unchanged.

The daemon tests callers, caller_memory, forward and replies pass.

--- a/daemon/src/caller_routes.rs
+++ b/daemon/src/caller_routes.rs
@@ -37,13 +37,10 @@
     QueryId,
     TimePoint, //
 };
-use tokio::{
-    sync::{
-        mpsc::UnboundedSender,
-        oneshot,
-        watch, //
-    },
-    task::spawn_local, //
+use tokio::sync::{
+    mpsc::UnboundedSender,
+    oneshot,
+    watch, //
 };
 
 use crate::{
@@ -55,7 +52,6 @@
     caller_request::CallerHeaders,
     clock::DaemonClock,
     intake::{
-        drain_body,
         read_body,
         BodyFailure,
         IntakeSlot, //
@@ -187,16 +183,13 @@
     async fn read_body(
         &self,
         slot: Option<&IntakeSlot>,
-        mut body: Body,
+        body: Body,
         group: &GroupSpec,
         deadline: TimePoint,
     ) -> Result<Bytes, CallerError> {
         let max = group.policy.body_max as usize;
         let deadline_instant = self.clock.instant_at(deadline).into();
-        let read = read_body(slot, &mut body, max, deadline_instant).await;
-        if matches!(read, Err(BodyFailure::NoRoom | BodyFailure::TooLarge)) {
-            spawn_local(drain_body(body, max));
-        }
+        let read = read_body(slot, body, max, deadline_instant).await;
         let body = read.map_err(|failure| match failure {
             BodyFailure::TooLarge => CallerError::BodyTooLarge { max },
             BodyFailure::Broken | BodyFailure::Late => CallerError::BodyIncomplete,
--- a/daemon/src/forward/request_handler.rs
+++ b/daemon/src/forward/request_handler.rs
@@ -37,7 +37,6 @@
         oneshot,
         watch, //
     },
-    task::spawn_local,
     time::Instant, //
 };
 
@@ -48,7 +47,6 @@
 };
 use crate::{
     intake::{
-        drain_body,
         read_body,
         BodyFailure,
         IntakeSlot, //
@@ -156,24 +154,11 @@
         reply.map_err(|_| StatusCode::BAD_GATEWAY)
     }
 
-    async fn read_body(
-        &self,
-        slot: Option<&IntakeSlot>,
-        mut body: Body,
-    ) -> Result<Bytes, StatusCode> {
+    async fn read_body(&self, slot: Option<&IntakeSlot>, body: Body) -> Result<Bytes, StatusCode> {
         let max_bytes = self.view.borrow().limits.body_bytes;
         let deadline = Instant::now() + BODY_TIMEOUT;
-        let failure = match read_body(slot, &mut body, max_bytes, deadline).await {
-            Ok(bytes) => return Ok(bytes),
-            Err(failure) => failure,
-        };
-        match failure {
-            BodyFailure::Broken | BodyFailure::Late => {}
-            BodyFailure::NoRoom | BodyFailure::TooLarge => {
-                spawn_local(drain_body(body, max_bytes));
-            }
-        }
-        Err(match failure {
+        let read = read_body(slot, body, max_bytes, deadline).await;
+        read.map_err(|failure| match failure {
             BodyFailure::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             BodyFailure::Broken => StatusCode::BAD_REQUEST,
             BodyFailure::Late => StatusCode::REQUEST_TIMEOUT,
--- a/daemon/src/intake/body_reader.rs
+++ b/daemon/src/intake/body_reader.rs
@@ -8,10 +8,13 @@
 };
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use tokio::time::{
-    timeout,
-    timeout_at,
-    Instant, //
+use tokio::{
+    task::spawn_local,
+    time::{
+        timeout,
+        timeout_at,
+        Instant, //
+    },
 };
 
 use super::intake_slot::IntakeSlot;
@@ -37,8 +40,21 @@
 
 /// Reads a body of at most `max_bytes`. Room is reserved for its announced length before anything is
 /// read, or as it grows if none is announced. Its bytes are copied into one buffer, so that a chunk
-/// takes no more memory than its bytes.
+/// takes no more memory than its bytes. The rest of a body that is refused is drained in a task.
 pub(crate) async fn read_body(
+    slot: Option<&IntakeSlot>,
+    mut body: Body,
+    max_bytes: usize,
+    deadline: Instant,
+) -> Result<Bytes, BodyFailure> {
+    let result = read_within_slot(slot, &mut body, max_bytes, deadline).await;
+    if let Err(BodyFailure::NoRoom | BodyFailure::TooLarge) = result {
+        spawn_local(drain_body(body, max_bytes));
+    }
+    result
+}
+
+async fn read_within_slot(
     slot: Option<&IntakeSlot>,
     body: &mut Body,
     max_bytes: usize,
@@ -119,7 +135,7 @@
 }
 
 /// Reads the rest of a refused body without keeping it, for a limited time and up to `max_bytes`.
-pub(crate) async fn drain_body(mut body: Body, max_bytes: usize) {
+async fn drain_body(mut body: Body, max_bytes: usize) {
     let drain = async {
         let mut left = max_bytes;
         while let Some(Ok(frame)) = body.frame().await {
--- a/daemon/src/intake/mod.rs
+++ b/daemon/src/intake/mod.rs
@@ -7,7 +7,6 @@
 mod intake_stream;
 
 pub(crate) use body_reader::{
-    drain_body,
     read_body,
     BodyFailure, //
 };
