Derive the daemons that share rates from the relay peers

The daemon listed its live members twice, for relays and for shared rates, and sent the engine an event for each. The engine now takes the members that share rates from the relay peers, which carry the build and the capacity; RateMembersListed is removed.

PeerCore::member looks one member up in the table. Four functions walked all members for that, and three parsed the cell of a member to learn its build, which PeerMember::build now does.

--- a/daemon/src/forward/directory_calls.rs
+++ b/daemon/src/forward/directory_calls.rs
@@ -23,8 +23,8 @@
         SharedCall,
         SharedReply, //
     },
-    CpuCapacity,
     DaemonName,
+    MemberBuild,
     TimePoint, //
 };
 use tokio::{
@@ -179,9 +179,8 @@
 
     /// Whether a daemon understands the messages that came with the capacity.
     fn is_current(&self, daemon: &DaemonName) -> bool {
-        let mut members = self.peers.members();
-        let member = members.find(|member| member.daemon == *daemon);
-        member.is_some_and(|member| member.cell.parse::<CpuCapacity>().is_ok())
+        let member = self.peers.member(daemon);
+        member.is_some_and(|member| member.build() >= MemberBuild::Gathers)
     }
 
     /// Applies the answer of another daemon that reads the store.
--- a/daemon/src/forward/forward_peers.rs
+++ b/daemon/src/forward/forward_peers.rs
@@ -17,7 +17,6 @@
         PeerEvent,
         PeerMember, //
     },
-    rates::RateMember,
 };
 use schema::{
     peer::{
@@ -26,7 +25,6 @@
         NoteEntry,
         SyncBody, //
     },
-    MemberBuild,
     TimePoint, //
 };
 use tokio::{
@@ -183,18 +181,9 @@
             zone: member.zone.clone(),
             // The daemons of an older build name none, and those of this platform have no cells.
             capacity: member.cell.parse().unwrap_or_default(),
-            build: MemberBuild::of_cell(member.cell.as_str()),
+            build: member.build(),
         });
         let relay_peers = relay_peers.collect();
-        let shares =
-            |member: &&PeerMember| MemberBuild::of_cell(&member.cell) >= MemberBuild::SharesRates;
-        let members = self.peers.members().filter(is_alive).filter(shares);
-        let members = members.map(|member| RateMember {
-            daemon: member.daemon.clone(),
-            capacity: member.cell.parse().unwrap_or_default(),
-        });
-        let members = members.collect();
-        self.dispatch(now, ForwardEvent::RateMembersListed(members));
         self.dispatch(now, ForwardEvent::RelayPeersListed(relay_peers));
         self.feed.set_peers(peers);
         // Dead members count too: a daemon that is unreachable from here may still spend its share
--- a/daemon/src/forward/relay_tasks.rs
+++ b/daemon/src/forward/relay_tasks.rs
@@ -284,9 +284,7 @@
     }
 
     fn peer_address(&self, name: &DaemonName) -> Option<std::net::SocketAddr> {
-        let mut members = self.peers.members();
-        let member = members.find(|member| member.daemon == *name);
-        member.map(|member| member.address)
+        self.peers.member(name).map(|member| member.address)
     }
 }
 
--- a/daemon/src/forward/request_access.rs
+++ b/daemon/src/forward/request_access.rs
@@ -157,8 +157,7 @@
 
     /// Whether a member is of a build that checks API keys.
     fn checks_keys(&self, daemon: &DaemonName) -> bool {
-        let mut members = self.peers.members();
-        let member = members.find(|member| member.daemon == *daemon);
-        member.is_some_and(|member| MemberBuild::of_cell(&member.cell) >= MemberBuild::SharesRates)
+        let member = self.peers.member(daemon);
+        member.is_some_and(|member| member.build() >= MemberBuild::SharesRates)
     }
 }
--- a/daemon/src/loop_peers.rs
+++ b/daemon/src/loop_peers.rs
@@ -249,9 +249,7 @@
     }
 
     fn peer_address(&self, peer: &DaemonName) -> Option<SocketAddr> {
-        let mut members = self.peers.members();
-        let member = members.find(|member| member.daemon == *peer);
-        member.map(|member| member.address)
+        self.peers.member(peer).map(|member| member.address)
     }
 
     fn request_sync(&self, to: SocketAddr, body: SyncBody) {
--- a/policy/src/forward/forward_engine.rs
+++ b/policy/src/forward/forward_engine.rs
@@ -45,6 +45,7 @@
     ForwardEvent,
     ForwardSettings,
     LoggedEvent,
+    RelayPeer,
     RelayRefusal,
     ReplicaKey,
     ReplicaRegistry,
@@ -222,6 +223,8 @@
                 self.on_leaving_named(now, &instances, actions);
             }
             ForwardEvent::RelayPeersListed(peers) => {
+                let members = peers.iter().filter_map(RelayPeer::rate_member);
+                self.rates.set_members(now, members.collect());
                 self.delegates.set_peers(&peers);
                 self.helpers.set_peers(peers);
             }
@@ -237,7 +240,6 @@
             ForwardEvent::RatesReceived { from, message } => {
                 self.on_rates_received(now, &from, &message, actions);
             }
-            ForwardEvent::RateMembersListed(members) => self.rates.set_members(now, members),
             ForwardEvent::FleetListed(entry) => self.rates.set_fleet(now, entry),
             ForwardEvent::DirectoryKnown { at } => self.rates.confirm_fleet(now, at),
             ForwardEvent::Suspended { period } => self.rates.on_suspended(now, period),
--- a/policy/src/forward/forward_event.rs
+++ b/policy/src/forward/forward_event.rs
@@ -32,10 +32,7 @@
     ReplicaKey,
     RouteIndex, //
 };
-use crate::rates::{
-    RateMember,
-    RateMessage, //
-};
+use crate::rates::RateMessage;
 
 /// An event for the forwarding engine.
 #[derive(Clone, Debug)]
@@ -181,8 +178,6 @@
         /// The question or answer.
         message: RateMessage,
     },
-    /// The other live daemons that share rates changed.
-    RateMembersListed(Vec<RateMember>),
     /// The record of the fleet changed.
     FleetListed(FleetEntry),
     /// The copy of the directory contains all that the store had acknowledged before.
--- a/policy/src/forward/relay_peer.rs
+++ b/policy/src/forward/relay_peer.rs
@@ -7,6 +7,8 @@
     ZoneName, //
 };
 
+use crate::rates::RateMember;
+
 /// Another live daemon, which may forward requests for this one.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct RelayPeer {
@@ -19,3 +21,13 @@
     /// What its build understands.
     pub build: MemberBuild,
 }
+
+impl RelayPeer {
+    /// Its entry among the daemons that share rates; `None` if its build does not share them.
+    pub(super) fn rate_member(&self) -> Option<RateMember> {
+        (self.build >= MemberBuild::SharesRates).then(|| RateMember {
+            daemon: self.daemon.clone(),
+            capacity: self.capacity,
+        })
+    }
+}
--- a/policy/src/peers/peer_core.rs
+++ b/policy/src/peers/peer_core.rs
@@ -153,6 +153,11 @@
         self.table.iter()
     }
 
+    /// The other member of this name.
+    pub fn member(&self, daemon: &DaemonName) -> Option<&PeerMember> {
+        self.table.get(daemon)
+    }
+
     /// Number of daemons that are alive, suspected or leaving, including this one.
     pub fn daemon_count(&self) -> u32 {
         let active = self.table.iter().filter(|member| member.is_active());
@@ -238,9 +243,7 @@
             }
             PeerEvent::RatesShared { to, message } => {
                 let member = self.table.get(&to);
-                let shares = |member: &&PeerMember| {
-                    MemberBuild::of_cell(&member.cell) >= MemberBuild::SharesRates
-                };
+                let shares = |member: &&PeerMember| member.build() >= MemberBuild::SharesRates;
                 // Older builds can't decode datagrams with this kind of note.
                 if let Some(address) = member.filter(shares).map(|member| member.address) {
                     let note = Some(Note::Rate(message.to_note()));
--- a/policy/src/peers/peer_member.rs
+++ b/policy/src/peers/peer_member.rs
@@ -8,6 +8,7 @@
     BundleVersion,
     DaemonName,
     Incarnation,
+    MemberBuild,
     TimePoint,
     ZoneName, //
 };
@@ -70,6 +71,11 @@
         }
     }
 
+    /// What its build understands.
+    pub fn build(&self) -> MemberBuild {
+        MemberBuild::of_cell(&self.cell)
+    }
+
     /// Key that decides which of two entries for a daemon wins: the higher incarnation, then the
     /// higher revision, then the later state.
     pub(super) fn precedence(&self) -> (Incarnation, u32, MemberState) {
