Use one stream for connections with counted reads

The stream of callers' connections copied the one of upstream connections; they differed in what counts a read and in the largest read. CountedStream takes a ReadCounter, which IntakeSlot and ReadAllowance implement with the same limits and errors as before. A read whose buffer is not larger than the largest read goes straight into that buffer, without filling it with zeros first.

--- a/daemon/src/caller_port.rs
+++ b/daemon/src/caller_port.rs
@@ -45,10 +45,10 @@
 };
 
 use crate::{
+    counted_stream::CountedStream,
     intake::{
         IntakeGate,
-        IntakeSlot,
-        IntakeStream, //
+        IntakeSlot, //
     },
     lifecycle::LifePhase,
     serving_view::ServingView, //
@@ -129,7 +129,10 @@
         let routes = self.routes.clone();
         let idle = self.idle_timeout;
         connections.spawn_local(serve_connection(
-            IntakeStream { stream, slot },
+            CountedStream {
+                stream,
+                counter: slot,
+            },
             CallerAddress(address.ip()),
             routes,
             buffer_bytes,
@@ -140,7 +143,7 @@
 }
 
 async fn serve_connection(
-    stream: IntakeStream,
+    stream: CountedStream<IntakeSlot>,
     address: CallerAddress,
     routes: Router,
     buffer_bytes: usize,
@@ -148,7 +151,7 @@
     mut view: watch::Receiver<ServingView>,
 ) {
     let used = Arc::new(AtomicBool::new(false));
-    let slot = stream.slot.clone();
+    let slot = stream.counter.clone();
     let service = RequestMarker {
         inner: TowerToHyperService::new(routes),
         used: used.clone(),
--- a/daemon/src/intake/intake_stream.rs
+++ b/daemon/src/counted_stream.rs
@@ -19,38 +19,47 @@
     net::TcpStream,
 };
 
-use super::intake_slot::IntakeSlot;
+/// Counts the bytes that are read from a connection.
+pub(crate) trait ReadCounter: Unpin {
+    /// Bytes that one read returns at most.
+    const READ_MAX: usize = usize::MAX;
 
-/// Bytes that one read returns at most. It is less than the HTTP library's first buffer, because the
-/// library doubles its buffer after a read that fills it.
-const READ_MAX: usize = 8_191;
+    /// Counts the bytes of a read, 0 at the end of the stream.
+    ///
+    /// # Errors
+    ///
+    /// The read fails with the error if the bytes may not be read.
+    fn count(&self, bytes: usize) -> io::Result<()>;
+}
 
-/// A caller's connection with a place in the budget.
+/// A connection whose reads fail once its counter does.
 #[derive(Debug)]
-pub(crate) struct IntakeStream {
+pub(crate) struct CountedStream<C> {
     pub(crate) stream: TcpStream,
-    pub(crate) slot: IntakeSlot,
+    pub(crate) counter: C,
 }
 
-impl AsyncRead for IntakeStream {
+impl<C: ReadCounter> AsyncRead for CountedStream<C> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let length = buffer.remaining().min(READ_MAX);
-        let mut limited = ReadBuf::new(buffer.initialize_unfilled_to(length));
-        ready!(Pin::new(&mut self.stream).poll_read(context, &mut limited))?;
-        let count = limited.filled().len();
-        buffer.advance(count);
-        if !self.slot.count_head(count) {
-            return Poll::Ready(Err(io::ErrorKind::OutOfMemory.into()));
+        let filled = buffer.filled().len();
+        if buffer.remaining() <= C::READ_MAX {
+            ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        } else {
+            let mut limited = ReadBuf::new(buffer.initialize_unfilled_to(C::READ_MAX));
+            ready!(Pin::new(&mut self.stream).poll_read(context, &mut limited))?;
+            let read = limited.filled().len();
+            buffer.advance(read);
         }
-        Poll::Ready(Ok(()))
+        let read = buffer.filled().len() - filled;
+        Poll::Ready(self.counter.count(read))
     }
 }
 
-impl AsyncWrite for IntakeStream {
+impl<C: ReadCounter> AsyncWrite for CountedStream<C> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
--- a/daemon/src/intake/intake_slot.rs
+++ b/daemon/src/intake/intake_slot.rs
@@ -1,12 +1,15 @@
 //! The place of one connection in the budget of its port.
 
-use std::sync::{
-    atomic::{
-        AtomicBool,
-        AtomicUsize,
-        Ordering, //
+use std::{
+    io,
+    sync::{
+        atomic::{
+            AtomicBool,
+            AtomicUsize,
+            Ordering, //
+        },
+        Arc, //
     },
-    Arc, //
 };
 
 use policy::intake::{
@@ -17,6 +20,7 @@
 use tokio::sync::Notify;
 
 use super::intake_gate::IntakeGate;
+use crate::counted_stream::ReadCounter;
 
 /// Bytes of a head that the HTTP library's first buffer holds, which counts as a part of the
 /// connection.
@@ -125,9 +129,8 @@
         self.0.gate.on_received(self.0.id, bytes);
     }
 
-    /// Counts bytes that have been read from the connection, outside of bodies those of a head. Returns
-    /// false if there is no room for them.
-    pub(super) fn count_head(&self, bytes: usize) -> bool {
+    /// Counts bytes of a head, unless a request has begun. Returns false if there is no room for them.
+    fn count_head(&self, bytes: usize) -> bool {
         if self.0.in_request.load(Ordering::Relaxed) {
             return true;
         }
@@ -144,3 +147,16 @@
         answer == RoomAnswer::Taken
     }
 }
+
+impl ReadCounter for IntakeSlot {
+    /// Less than the HTTP library's first buffer, because the library doubles its buffer after a read
+    /// that fills it.
+    const READ_MAX: usize = FIRST_BUFFER_BYTES - 1;
+
+    fn count(&self, bytes: usize) -> io::Result<()> {
+        match self.count_head(bytes) {
+            true => Ok(()),
+            false => Err(io::ErrorKind::OutOfMemory.into()),
+        }
+    }
+}
--- a/daemon/src/intake/mod.rs
+++ b/daemon/src/intake/mod.rs
@@ -4,7 +4,6 @@
 mod intake_gate;
 mod intake_metrics;
 mod intake_slot;
-mod intake_stream;
 
 pub(crate) use body_reader::{
     read_body,
@@ -13,4 +12,3 @@
 pub(crate) use intake_gate::IntakeGate;
 pub(crate) use intake_metrics::IntakeMetrics;
 pub(crate) use intake_slot::IntakeSlot;
-pub(crate) use intake_stream::IntakeStream;
--- a/daemon/src/upstream_link.rs
+++ b/daemon/src/upstream_link.rs
@@ -30,11 +30,9 @@
 };
 
 use crate::{
+    counted_stream::CountedStream,
     loop_event::LoopEvent,
-    metered_stream::{
-        MeteredStream,
-        ReadAllowance, //
-    }, //
+    read_allowance::ReadAllowance, //
 };
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -138,7 +136,10 @@
         let stream = connected.map_err(|_| ConnectFailure::Failed)??;
         stream.set_nodelay(true)?;
         let allowance = ReadAllowance::default();
-        let stream = MeteredStream::new(stream, allowance.clone());
+        let stream = CountedStream {
+            stream,
+            counter: allowance.clone(),
+        };
         let handshake = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
