Size the gates of both daemons in one place

run and run_forward repeated the sizing of the gates for callers and other daemons, the metrics and the log line. PortGates::open does it for both.

The limits are unchanged. The query daemon caps its connections from callers at twice its requests, but E7070 named the limit before that cap; it now names the limit in force, as docs/OPERATORS.md says. There, the line comes before the ports are opened, not after.

--- a/daemon/src/forward/run_forward.rs
+++ b/daemon/src/forward/run_forward.rs
@@ -37,7 +37,6 @@
         ForwardEngine,
         ForwardSettings, //
     },
-    intake::IntakeSettings,
     peers::{
         PeerCore,
         PeerSettings, //
@@ -104,7 +103,7 @@
     events,
     intake::{
         IntakeGate,
-        IntakeMetrics, //
+        PortGates, //
     },
     lifecycle::{
         DaemonLife,
@@ -184,19 +183,13 @@
     let (events, inbox) = unbounded_channel();
     let (view_sender, view) = watch::channel(ServingView::default());
     let (metrics, mut registry) = ForwardMetrics::register();
-    let intake_metrics = IntakeMetrics::register(&mut registry);
-    let caller_intake = IntakeSettings::of_callers(boot.memory_bytes, boot.descriptors)
-        .map_err(DaemonError::LimitsTooSmall)?;
-    let peer_intake = IntakeSettings::of_peers(boot.memory_bytes, boot.descriptors)
-        .map_err(DaemonError::LimitsTooSmall)?;
-    log_event!(
-        log, events::INTAKE_SIZED,
-        "caller_connections" => caller_intake.connections_max,
-        "caller_bytes" => caller_intake.bytes_max,
-        "peer_connections" => peer_intake.connections_max, "peer_bytes" => peer_intake.bytes_max,
-    );
-    let gate =
-        |port, settings| IntakeGate::new(port, settings, log.clone(), intake_metrics.clone());
+    let gates = PortGates::open(
+        boot.memory_bytes,
+        boot.descriptors,
+        usize::MAX,
+        &log,
+        &mut registry,
+    )?;
     let last_query = Arc::new(AtomicU64::new(0));
     let handler = RequestHandler {
         last_query: Arc::clone(&last_query),
@@ -208,7 +201,7 @@
         listener: bind("callers", boot.caller_address).await?,
         routes: caller_routes(handler),
         header_max_bytes: limits.header_bytes,
-        intake: gate("callers", caller_intake),
+        intake: gates.callers,
         idle_timeout: limits.idle_timeout,
         view: view.clone(),
     };
@@ -238,7 +231,7 @@
         .with_body_timeout(STORE_BODY_TIMEOUT);
     let incarnation = Incarnation(seed);
     let socket = PeerSocket::bind(boot.peer_address).await?;
-    let socket = socket.with_intake(gate("peers", peer_intake));
+    let socket = socket.with_intake(gates.peers);
     let (peer_link, peer_inputs) =
         PeerLink::serve(socket, PEER_KEY, &boot.vm, &boot.zone, incarnation);
     let peer_settings = PeerSettings {
--- a/daemon/src/intake/mod.rs
+++ b/daemon/src/intake/mod.rs
@@ -4,11 +4,13 @@
 mod intake_gate;
 mod intake_metrics;
 mod intake_slot;
+mod port_gates;
 
 pub(crate) use body_reader::{
     read_body,
     BodyFailure, //
 };
 pub(crate) use intake_gate::IntakeGate;
-pub(crate) use intake_metrics::IntakeMetrics;
+use intake_metrics::IntakeMetrics;
 pub(crate) use intake_slot::IntakeSlot;
+pub(crate) use port_gates::PortGates;
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -11,7 +11,6 @@
     time::Duration, //
 };
 
-use policy::intake::IntakeSettings;
 use schema::Incarnation;
 use slog::Logger;
 use tokio::{
@@ -60,7 +59,7 @@
     events,
     intake::{
         IntakeGate,
-        IntakeMetrics, //
+        PortGates, //
     },
     lifecycle::LifePhase,
     log_event,
@@ -160,19 +159,17 @@
     let (events, inbox) = unbounded_channel();
     let (view_sender, view) = watch::channel(ServingView::default());
     let (metrics, mut registry) = DaemonMetrics::register();
-    let intake_metrics = IntakeMetrics::register(&mut registry);
-    let memory = Some(config.limits.memory_bytes);
-    let descriptors = Some(config.limits.descriptors);
-    let caller_intake = IntakeSettings::of_callers(memory, descriptors);
-    let caller_intake = caller_intake.map_err(DaemonError::LimitsTooSmall)?;
-    let peer_intake = IntakeSettings::of_peers(memory, descriptors);
-    let peer_intake = peer_intake.map_err(DaemonError::LimitsTooSmall)?;
-    let gate =
-        |port, settings| IntakeGate::new(port, settings, log.clone(), intake_metrics.clone());
+    let gates = PortGates::open(
+        Some(config.limits.memory_bytes),
+        Some(config.limits.descriptors),
+        2 * config.limits.requests as usize,
+        &log,
+        &mut registry,
+    )?;
     let caller = bind("callers", config.listen.caller).await?;
     let admin = bind("operators", config.listen.admin).await?;
     let peer = PeerSocket::bind(config.listen.peer).await?;
-    let peer = peer.with_intake(gate("peers", peer_intake));
+    let peer = peer.with_intake(gates.peers);
     let bound = BoundAddresses {
         caller: local_address("callers", &caller, config.listen.caller)?,
         admin: local_address("operators", &admin, config.listen.admin)?,
@@ -190,25 +187,11 @@
         listener: caller,
         routes: caller_routes(caller_state),
         header_max_bytes: config.limits.header_bytes as usize,
-        intake: gate(
-            "callers",
-            IntakeSettings {
-                connections_max: caller_intake
-                    .connections_max
-                    .min(2 * config.limits.requests as usize),
-                ..caller_intake
-            },
-        ),
+        intake: gates.callers,
         idle_timeout: IDLE_TIMEOUT,
         view: view.clone(),
     };
     let serving = spawn_local(serve_callers(port, events.clone()));
-    log_event!(
-        log, events::INTAKE_SIZED,
-        "caller_connections" => caller_intake.connections_max,
-        "caller_bytes" => caller_intake.bytes_max,
-        "peer_connections" => peer_intake.connections_max, "peer_bytes" => peer_intake.bytes_max,
-    );
     let admin_state = AdminState {
         events: events.clone(),
         view: view.clone(),
