Define the bounds of rates once

The settings file's bounds on quotas and on cold replicas had one pair of types in the platform crate and the same in the policy crate, with code that copied the fields. RateBounds and ColdBounds now stand in the schema crate, which both use. In policy/tests/cold_replicas.rs only an import changes.

--- a/daemon/src/forward/run_forward.rs
+++ b/daemon/src/forward/run_forward.rs
@@ -41,8 +41,6 @@
         PeerCore,
         PeerSettings, //
     },
-    places::ColdBounds,
-    rates::RateBounds,
     work::WorkSettings, //
 };
 use prometheus_client::registry::Registry;
@@ -274,15 +272,8 @@
         retry_budget_window: boot.retry_budget_window,
         capacity: boot.capacity,
         incarnation: seed,
-        quota_bounds: boot.quota_bounds.map(|bounds| RateBounds {
-            window: bounds.window,
-            overage: bounds.overage,
-            slack: bounds.slack,
-        }),
-        cold_bounds: boot.cold_bounds.map(|bounds| ColdBounds {
-            overage: bounds.overage,
-            slack: bounds.slack,
-        }),
+        quota_bounds: boot.quota_bounds,
+        cold_bounds: boot.cold_bounds,
         work: work_settings(&log),
     };
     let feed_settings = FeedSettings {
--- a/policy/src/forward/forward_engine.rs
+++ b/policy/src/forward/forward_engine.rs
@@ -15,6 +15,7 @@
     AttemptId,
     CrashNotice,
     QueryId,
+    RateBounds,
     ReplicaEntry,
     ReplicaName,
     RouteName,
@@ -58,7 +59,6 @@
         UnknownHomes, //
     },
     rates::{
-        RateBounds,
         RateSettings,
         RateTable, //
     },
--- a/policy/src/forward/forward_settings.rs
+++ b/policy/src/forward/forward_settings.rs
@@ -6,17 +6,15 @@
 };
 
 use schema::{
+    ColdBounds,
     CpuCapacity,
     DaemonName,
+    RateBounds,
     RegionName,
     ZoneName, //
 };
 
-use crate::{
-    places::ColdBounds,
-    rates::RateBounds,
-    work::WorkSettings, //
-};
+use crate::work::WorkSettings;
 
 /// Settings that are fixed when the engine is created.
 #[derive(Clone, Debug)]
--- a/policy/src/forward/rate_exchange.rs
+++ b/policy/src/forward/rate_exchange.rs
@@ -14,6 +14,7 @@
 use crate::rates::{
     RateAction,
     RateKey,
+    RateLimit,
     RateMessage,
     RateTable, //
 };
@@ -31,7 +32,7 @@
         };
         let limits = accounts.iter().filter_map(|account| {
             let quota = account.quota.filter(|quota| quota.per_second > 0.0)?;
-            let limit = bounds.limit(quota.per_second, quota.burst);
+            let limit = RateLimit::bounded(quota.per_second, quota.burst, &bounds);
             Some((RateKey::of_account(&account.name), limit))
         });
         self.rates.set_limits(now, limits.collect());
--- a/policy/src/places/cold_state.rs
+++ b/policy/src/places/cold_state.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use schema::{
+    ColdBounds,
     ColdLimit,
     TimePoint, //
 };
@@ -14,15 +15,6 @@
 /// Length of a step. Daemons disagree by less about the time at which a replica is warm.
 const STEP_PERIOD: Duration = Duration::from_millis(500);
 
-/// How far the requests to a cold replica may exceed its rate: in any second, the rate x `overage` + `slack`.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct ColdBounds {
-    /// Factor on the rate.
-    pub overage: f64,
-    /// Requests in addition.
-    pub slack: f64,
-}
-
 /// How much a replica bears.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ColdPhase {
--- a/policy/src/places/mod.rs
+++ b/policy/src/places/mod.rs
@@ -5,7 +5,6 @@
 mod unknown_homes;
 
 pub use cold_state::{
-    ColdBounds,
     ColdPhase,
     ColdState, //
 };
--- a/policy/src/rates/mod.rs
+++ b/policy/src/rates/mod.rs
@@ -25,10 +25,7 @@
 pub use rate_action::RateAction;
 pub use rate_event::RateEvent;
 pub use rate_key::RateKey;
-pub use rate_limit::{
-    RateBounds,
-    RateLimit, //
-};
+pub use rate_limit::RateLimit;
 pub use rate_message::{
     RateEntry,
     RateMessage,
--- a/policy/src/rates/rate_limit.rs
+++ b/policy/src/rates/rate_limit.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use schema::RateBounds;
+
 /// A rate that all daemons together keep, with the bound that it must not exceed in any window:
 /// (`per_second` x `window` + `burst`) x (1 + `overage`) + `slack`.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -18,26 +20,15 @@
     pub slack: f64,
 }
 
-/// How far rates of one kind may be exceeded in any window.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct RateBounds {
-    /// Length of the window.
-    pub window: Duration,
-    /// Part of what the rate allows in a window that is allowed in addition.
-    pub overage: f64,
-    /// Requests that are allowed in addition.
-    pub slack: f64,
-}
-
-impl RateBounds {
+impl RateLimit {
     /// The limit of a rate with these bounds.
-    pub fn limit(&self, per_second: f64, burst: f64) -> RateLimit {
-        RateLimit {
+    pub fn bounded(per_second: f64, burst: f64, bounds: &RateBounds) -> Self {
+        Self {
             per_second,
             burst,
-            window: self.window,
-            overage: self.overage,
-            slack: self.slack,
+            window: bounds.window,
+            overage: bounds.overage,
+            slack: bounds.slack,
         }
     }
 }
--- a/policy/tests/cold_replicas.rs
+++ b/policy/tests/cold_replicas.rs
@@ -29,12 +29,12 @@
         SendCommand, //
     },
     places::{
-        ColdBounds,
         ColdPhase,
         ColdState, //
     },
 };
 use schema::{
+    ColdBounds,
     ColdLimit,
     DaemonName,
     FleetEntry,
--- a/schema/src/lib.rs
+++ b/schema/src/lib.rs
@@ -36,6 +36,7 @@
 
 mod account_spec;
 mod bundle_digest;
+mod cold_bounds;
 mod cold_limit;
 mod cpu_capacity;
 mod crash_notice;
@@ -52,6 +53,7 @@
 mod names;
 mod numbers;
 mod query_print;
+mod rate_bounds;
 mod replica_entry;
 mod replica_load;
 mod request_rate;
@@ -71,6 +73,7 @@
     AccountSpec, //
 };
 pub use bundle_digest::BundleDigest;
+pub use cold_bounds::ColdBounds;
 pub use cold_limit::ColdLimit;
 pub use cpu_capacity::{
     CapacityError,
@@ -131,6 +134,7 @@
     SnapshotId, //
 };
 pub use query_print::QueryPrint;
+pub use rate_bounds::RateBounds;
 pub use replica_entry::ReplicaEntry;
 pub use replica_load::{
     LoadError,
