--- a/daemon/tests/bench/mod.rs
+++ b/daemon/tests/bench/mod.rs
@@ -6,6 +6,8 @@
 
 use std::{
     io::{
+        BufRead,
+        BufReader,
         Read,
         Write, //
     },
@@ -14,6 +16,7 @@
         SocketAddr,
         TcpStream, //
     },
+    process::ChildStderr,
     sync::Arc,
     thread,
     time::Duration, //
@@ -257,3 +260,16 @@
         body: body.into(),
     }
 }
+
+/// Reads the log up to the next line with the code `event` and returns that line.
+pub fn wait_for_event(log: &mut BufReader<ChildStderr>, event: &str) -> serde_json::Value {
+    loop {
+        let mut line = String::new();
+        let length = log.read_line(&mut line).unwrap();
+        assert!(length > 0, "the log ended before {event}");
+        let value: serde_json::Value = serde_json::from_str(&line).unwrap();
+        if value["event"] == event {
+            return value;
+        }
+    }
+}
--- a/daemon/tests/binary.rs
+++ b/daemon/tests/binary.rs
@@ -6,10 +6,7 @@
 
 use std::{
     fs,
-    io::{
-        BufRead,
-        BufReader, //
-    },
+    io::BufReader,
     net::SocketAddr,
     process::{
         Child,
@@ -20,7 +17,10 @@
     time::Duration, //
 };
 
-use bench::store_fixture::StoreFixture;
+use bench::{
+    store_fixture::StoreFixture,
+    wait_for_event, //
+};
 use standin::{
     FleetServer,
     FleetSettings,
@@ -95,21 +95,6 @@
         let log = BufReader::new(child.stderr.take().unwrap());
         Self { child, log }
     }
-
-    /// Reads the log up to the next line with the code `event` and returns that line.
-    fn wait_for_event(&mut self, event: &str) -> serde_json::Value {
-        loop {
-            let mut line = String::new();
-            assert!(
-                self.log.read_line(&mut line).unwrap() > 0,
-                "the log ended before {event}"
-            );
-            let value: serde_json::Value = serde_json::from_str(&line).unwrap();
-            if value["event"] == event {
-                return value;
-            }
-        }
-    }
 }
 
 impl Drop for RunningBinary {
@@ -129,7 +114,7 @@
     )
     .unwrap();
     let mut binary = RunningBinary::start(&path);
-    let started = binary.wait_for_event("E1001");
+    let started = wait_for_event(&mut binary.log, "E1001");
     let admin: SocketAddr = started["admin"].as_str().unwrap().parse().unwrap();
     let ready = bench::exchange(
         admin,
@@ -147,7 +132,7 @@
         .status()
         .unwrap()
         .success());
-    binary.wait_for_event("E1005");
+    wait_for_event(&mut binary.log, "E1005");
     assert_eq!(binary.child.wait().unwrap().code(), Some(0));
 }
 
@@ -180,9 +165,9 @@
     let path = folder.path().join("settings.yaml");
     fs::write(&path, settings_text(&fixture, &fleet)).unwrap();
     let mut binary = RunningBinary::start(&path);
-    let started = binary.wait_for_event("E1001");
+    let started = wait_for_event(&mut binary.log, "E1001");
     let caller: SocketAddr = started["caller"].as_str().unwrap().parse().unwrap();
-    binary.wait_for_event("E1002");
+    wait_for_event(&mut binary.log, "E1002");
     let head = "x-request-id: r\r\nx-end-user: u\r\n";
     let mut stream = std::net::TcpStream::connect(caller).unwrap();
     std::io::Write::write_all(&mut stream, &bench::request("planks", head, b"oak")).unwrap();
@@ -198,7 +183,7 @@
     let answer = bench::read_reply(&mut stream).answer();
     assert_eq!(answer.outcome, "complete", "{}", answer.reason);
     assert_eq!(answer.bundle_version, 1);
-    binary.wait_for_event("E1005");
+    wait_for_event(&mut binary.log, "E1005");
     assert_eq!(binary.child.wait().unwrap().code(), Some(0));
     let segments = fixture
         .store
--- a/daemon/tests/caller_memory.rs
+++ b/daemon/tests/caller_memory.rs
@@ -11,10 +11,7 @@
 
 use std::{
     fs,
-    io::{
-        BufRead,
-        BufReader, //
-    },
+    io::BufReader,
     net::SocketAddr,
     process::{
         Child,
@@ -34,7 +31,10 @@
     },
 };
 
-use bench::store_fixture::StoreFixture;
+use bench::{
+    store_fixture::StoreFixture,
+    wait_for_event, //
+};
 use caller_crowd::{
     chunked_body,
     counted_body,
@@ -551,19 +551,6 @@
     }
 }
 
-/// Reads the log up to the next line with the code `event`.
-fn wait_for_event(log: &mut BufReader<ChildStderr>, event: &str) -> serde_json::Value {
-    loop {
-        let mut line = String::new();
-        let length = log.read_line(&mut line).unwrap();
-        assert!(length > 0, "the log ended before {event}");
-        let value: serde_json::Value = serde_json::from_str(&line).unwrap();
-        if value["event"] == event {
-            return value;
-        }
-    }
-}
-
 /// Guards against all kinds of bodies at the product's own interface.
 #[test]
 fn bodies_of_queries_stay_within_the_memory() {
--- a/daemon/tests/pauses.rs
+++ b/daemon/tests/pauses.rs
@@ -14,7 +14,6 @@
     net::SocketAddr,
     process::{
         Child,
-        ChildStderr,
         Command,
         Stdio, //
     },
@@ -27,6 +26,7 @@
     exchange,
     request,
     spec,
+    wait_for_event,
     PlainReply, //
 };
 use daemon::store::StoreClient;
@@ -176,20 +176,6 @@
     }
 }
 
-fn wait_for_event(log: &mut BufReader<ChildStderr>, event: &str) -> serde_json::Value {
-    loop {
-        let mut line = String::new();
-        assert!(
-            log.read_line(&mut line).unwrap() > 0,
-            "the log ended before {event}"
-        );
-        let value: serde_json::Value = serde_json::from_str(&line).unwrap();
-        if value["event"] == event {
-            return value;
-        }
-    }
-}
-
 fn send_renewal(caller: SocketAddr, key: u64) -> PlainReply {
     let head =
         format!("x-request-id: r{key}\r\nx-end-user: user-{key}\r\nidempotency-key: k{key}\r\n");
