Log the status of replies and of answers

To tell who says that a request has not run, the log lacked the status: E7001 of an order that was answered 429 said relayed_failure, as for a 404, and E7003 said ran_failed for any reply that could not be used. E7001 now has the status that the caller got, and E7003 that of the replica's reply.

--- a/daemon/src/forward/forward_log.rs
+++ b/daemon/src/forward/forward_log.rs
@@ -141,12 +141,13 @@
                 service,
                 replica,
                 cause,
+                status,
                 age,
                 print,
             } => log_event!(
                 logger, events::ATTEMPT_FAILED,
                 "request" => id, "query" => query.0, "service" => %service, "replica" => %replica,
-                "cause" => *cause, "age_ms" => millis(*age), "print" => %print,
+                "cause" => *cause, "status" => *status, "age_ms" => millis(*age), "print" => %print,
             ),
             LoggedEvent::ReplicaCrashed {
                 replica,
--- a/daemon/src/forward/forward_requests.rs
+++ b/daemon/src/forward/forward_requests.rs
@@ -144,7 +144,7 @@
         let Some(request) = self.requests.remove(&query) else {
             return;
         };
-        self.record_answer(now, &request, "caller_gone", None);
+        self.record_answer(now, &request, "caller_gone", None, None);
         self.dispatch(now, ForwardEvent::CallerGone { query });
     }
 
@@ -251,7 +251,7 @@
                 (reason.as_str(), status_reply(status))
             }
         };
-        self.record_answer(now, &request, result, missing_parts);
+        self.record_answer(now, &request, result, Some(reply.status), missing_parts);
         self.log_account_refusal(now, &request, refused);
         let leaving = match request.relayed_by {
             Some(_) => self.engine.leaving_instances(),
@@ -316,6 +316,7 @@
         now: TimePoint,
         request: &PendingRequest,
         result: &'static str,
+        status: Option<StatusCode>,
         missing_parts: Option<usize>,
     ) {
         let route = request.route.to_string();
@@ -337,7 +338,7 @@
             self.log.logger, events::REQUEST_ENDED,
             "request" => request.template.id.to_str().unwrap_or("?"), "route" => %request.route,
             "account" => request.access.account_name().map(AccountName::as_str),
-            "result" => result,
+            "result" => result, "status" => status.map(|status| status.as_u16()),
             "helper" => request.helper.as_ref().map(DaemonName::as_str),
             "relayed_by" => request.relayed_by.as_ref().map(DaemonName::as_str),
             "replica" => request.last_replica.as_ref().map(ReplicaName::as_str),
--- a/daemon/tests/forward_log.rs
+++ b/daemon/tests/forward_log.rs
@@ -51,15 +51,18 @@
             .iter()
             .any(|kind| kind.code == code));
         if line["request"] == "the-id" {
-            codes.push((code, line["cause"].as_str().map(String::from)));
+            let cause = line["cause"].as_str().map(String::from);
+            codes.push((code, cause, line["status"].as_u64()));
         }
     }
-    let has_failure = |cause: &str| codes.contains(&("E7003".into(), Some(cause.into())));
-    assert!(
-        has_failure("broken") && has_failure("ran_failed"),
-        "{codes:?}"
-    );
-    assert!(codes.iter().any(|(code, _)| code == "E7001"));
+    let expected = [
+        ("E7003".into(), Some("broken".into()), None),
+        ("E7003".into(), Some("ran_failed".into()), Some(500)),
+        ("E7001".into(), None, Some(502)),
+    ];
+    for line in expected {
+        assert!(codes.contains(&line), "{line:?} {codes:?}");
+    }
 }
 
 /// A log that is not read must not delay requests. A pipe holds about 64 KiB and the writer's queue
--- a/policy/src/forward/attempt_results.rs
+++ b/policy/src/forward/attempt_results.rs
@@ -102,7 +102,7 @@
         }
         if reply.not_run || reply.moved {
             let cause = if reply.moved { "moved" } else { "not_run" };
-            self.log_failure(now, context, cause, actions);
+            self.log_failure(now, context, cause, Some(reply.status), actions);
             self.retry_part(now, request, context.part, actions);
             return;
         }
@@ -131,7 +131,7 @@
         // that nothing ran, which is wrong for a request that did run.
         let relayable = reply.status >= 500 && reply.status != 503;
         part.relayed = Some(attempt).filter(|_| relayable).or(part.relayed);
-        self.log_failure(now, context, "ran_failed", actions);
+        self.log_failure(now, context, "ran_failed", Some(reply.status), actions);
         if idempotent && request.parts[context.part].executions < max_attempts {
             self.retry_part(now, request, context.part, actions);
             return;
@@ -176,7 +176,7 @@
                 self.registry.record_failure(now, context.replica);
             }
         }
-        self.log_failure(now, &context, failure.as_str(), actions);
+        self.log_failure(now, &context, failure.as_str(), None, actions);
         if failure.is_broken() {
             self.watch_broken_attempt(now, &context, failure, actions);
         }
@@ -234,6 +234,7 @@
         now: TimePoint,
         context: &AttemptContext,
         cause: &'static str,
+        status: Option<u16>,
         actions: &mut Vec<ForwardAction>,
     ) {
         let Some(record) = self.registry.records.get(&context.replica) else {
@@ -244,6 +245,7 @@
             service: record.entry.service.clone(),
             replica: record.entry.name.clone(),
             cause,
+            status,
             age: now.since(context.sent_at),
             print: context.identity.caller_print(),
         }));
--- a/policy/src/forward/logged_event.rs
+++ b/policy/src/forward/logged_event.rs
@@ -52,6 +52,8 @@
         replica: ReplicaName,
         /// The kind of failure, as named in metrics.
         cause: &'static str,
+        /// HTTP status of the reply; `None` if there was none.
+        status: Option<u16>,
         /// Time since the attempt was sent.
         age: Duration,
         /// Fingerprint of the request and its caller.
