Don't tell callers that a request has not run on a bare 408 or 429

Cause: a reply from 300 to 499 was passed on as the answer, whatever the replica said of the run. Only 503 was held back.

--- a/daemon/src/forward/forward_log.rs
+++ b/daemon/src/forward/forward_log.rs
@@ -2,13 +2,7 @@
 
 use std::time::Duration;
 
-use policy::{
-    forward::{
-        LoggedEvent,
-        RelayOutcome, //
-    },
-    rates::RateEvent,
-};
+use policy::{forward::LoggedEvent, rates::RateEvent};
 use schema::{
     DaemonName,
     ReplicaName,
@@ -116,7 +110,7 @@
         let is_routine = match event {
             LoggedEvent::RequestHeldBack { outcome, .. } => *outcome == "elsewhere",
             LoggedEvent::RequestRelayed { .. } => true,
-            LoggedEvent::RelayEnded { outcome, .. } => *outcome == RelayOutcome::Answered,
+            LoggedEvent::RelayEnded { outcome, .. } => outcome.as_str() == "answered",
             _ => false,
         };
         if !self.take_permit(now, !is_routine) {
--- a/daemon/src/forward/relay_messages.rs
+++ b/daemon/src/forward/relay_messages.rs
@@ -159,11 +159,9 @@
 
 /// The outcome that a message reports, and the reply for the caller if there is one.
 pub(super) fn from_reply(reply: RelayReply) -> (RelayOutcome, Option<(response::Parts, Bytes)>) {
-    let outcome = match reply.outcome {
-        0 => RelayOutcome::Answered,
-        1 => RelayOutcome::NotRun,
-        _ => return (RelayOutcome::Declined(refusal_of(reply.refusal)), None),
-    };
+    if reply.outcome > 1 {
+        return (RelayOutcome::Declined(refusal_of(reply.refusal)), None);
+    }
     let status = u16::try_from(reply.status).ok();
     let status = status.and_then(|status| StatusCode::from_u16(status).ok());
     let (Some(status), Some(headers)) = (status, from_fields(reply.headers)) else {
@@ -172,6 +170,10 @@
     let (mut head, ()) = Response::new(()).into_parts();
     head.status = status;
     head.headers = headers;
+    let outcome = match reply.outcome {
+        0 => RelayOutcome::Answered(status.as_u16()),
+        _ => RelayOutcome::NotRun,
+    };
     (outcome, Some((head, reply.body.into())))
 }
 
--- a/policy/src/forward/attempt_results.rs
+++ b/policy/src/forward/attempt_results.rs
@@ -8,6 +8,7 @@
 
 use super::{
     forward_engine::AttemptContext,
+    forward_reply::is_refusal,
     pending_request::PendingRequest,
     request_part::PartState,
     ForwardAction,
@@ -107,7 +108,7 @@
             return;
         }
         part.executions += 1;
-        let usable = reply.is_success() || (!gather && (300..500).contains(&reply.status));
+        let usable = reply.is_success() || (!gather && reply.is_answer());
         if usable {
             let signed = reply.stamp.is_some();
             self.dequeue(part);
@@ -127,11 +128,13 @@
             self.release_waiting(now, request, actions);
             return;
         }
-        // A success without a signature does not come from the replica, and 503 means to the caller
-        // that nothing ran, which is wrong for a request that did run.
-        let relayable = reply.status >= 500 && reply.status != 503;
+        // A success without a signature does not come from the replica, and a refusal means to the caller
+        // that nothing ran, which may be wrong.
+        let refused = is_refusal(reply.status);
+        let relayable = reply.status >= 500 && !refused;
         part.relayed = Some(attempt).filter(|_| relayable).or(part.relayed);
-        self.log_failure(now, context, "ran_failed", Some(reply.status), actions);
+        let cause = if refused { "ran_refused" } else { "ran_failed" };
+        self.log_failure(now, context, cause, Some(reply.status), actions);
         if idempotent && request.parts[context.part].executions < max_attempts {
             self.retry_part(now, request, context.part, actions);
             return;
--- a/policy/src/forward/delegate/branch_failures.rs
+++ b/policy/src/forward/delegate/branch_failures.rs
@@ -44,7 +44,7 @@
         self.delegates.record_end(&delegate);
         let (period, spent) = match outcome {
             // It works, but the replicas of these shards did not.
-            RelayOutcome::Answered => (None, context.granted),
+            RelayOutcome::Answered(_) => (None, context.granted),
             RelayOutcome::NotRun => (None, 0),
             RelayOutcome::Declined(refusal) => {
                 let period = self.delegates.record_refusal(now, &delegate, refusal);
--- a/policy/src/forward/forward_reply.rs
+++ b/policy/src/forward/forward_reply.rs
@@ -28,4 +28,16 @@
     pub fn is_success(&self) -> bool {
         (200..300).contains(&self.status) && self.stamp.is_some()
     }
+
+    /// Whether the reply is the replica's answer to the request, which may be that it can't be served.
+    pub fn is_answer(&self) -> bool {
+        let concerns_request = (300..500).contains(&self.status) && !is_refusal(self.status);
+        self.is_success() || concerns_request
+    }
+}
+
+/// Whether an answer with this HTTP status promises that no replica ran the request, and that none will.
+/// Only a replica that says so itself (`not_run`, `moved`) supports that.
+pub(super) fn is_refusal(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
 }
--- a/policy/src/forward/pending_request.rs
+++ b/policy/src/forward/pending_request.rs
@@ -96,10 +96,10 @@
     pub(super) relay: RelayState,
     /// Daemons that declined it or broke off.
     pub(super) helpers_tried: SmallVec<[DaemonName; 2]>,
-    /// Replicas of one service on which daemons that broke off may have run it.
+    /// Replicas of one service on which these daemons may have run it.
     pub(super) relay_attempts: u32,
-    /// Whether a daemon that had it broke off.
-    pub(super) relay_broke: bool,
+    /// Whether a daemon that has no answer to it any more may have run it.
+    pub(super) relay_may_have_run: bool,
     /// Whether it stays at this daemon, since no other one takes it.
     pub(super) keeps_direct: bool,
     /// The terms, if another daemon has relayed it to this one.
@@ -161,7 +161,7 @@
             relay: RelayState::Direct,
             helpers_tried: SmallVec::new(),
             relay_attempts: 0,
-            relay_broke: false,
+            relay_may_have_run: false,
             keeps_direct: false,
             terms: None,
             placement: RequestPlacement::default(),
@@ -278,7 +278,7 @@
         let ran = |part: &RequestPart| {
             part.executions > 0 || !part.in_flight.is_empty() || part.branch.is_some()
         };
-        let relayed = self.relay_broke || matches!(self.relay, RelayState::Sent { .. });
+        let relayed = self.relay_may_have_run || matches!(self.relay, RelayState::Sent { .. });
         relayed || self.parts.iter().any(ran)
     }
 
--- a/policy/src/forward/relay_dispatch.rs
+++ b/policy/src/forward/relay_dispatch.rs
@@ -11,6 +11,7 @@
 use smallvec::SmallVec;
 
 use super::{
+    forward_reply::is_refusal,
     pending_request::{
         PendingRequest,
         RelayState, //
@@ -125,7 +126,11 @@
             RelayOutcome::NotRun if request.may_have_run() => {
                 request.relay = RelayState::Ended(stranded_answer(&request));
             }
-            RelayOutcome::Answered | RelayOutcome::NotRun => {
+            // Builds before this one pass on a replica's refusal that does not say that nothing ran.
+            RelayOutcome::Answered(status) if is_refusal(status) => {
+                self.relay_again(now, &mut request, &context, actions);
+            }
+            RelayOutcome::Answered(_) | RelayOutcome::NotRun => {
                 request.relay_not_run = outcome == RelayOutcome::NotRun;
                 request.relay = RelayState::Ended(ForwardAnswer::Relayed { attempt });
             }
@@ -133,17 +138,26 @@
                 request.helpers_tried.push(context.helper);
                 self.send_relay(now, &mut request, actions);
             }
-            RelayOutcome::Broken => {
-                request.helpers_tried.push(context.helper);
-                request.relay_attempts += context.granted;
-                request.relay_broke = true;
-                self.send_relay(now, &mut request, actions);
-            }
+            RelayOutcome::Broken => self.relay_again(now, &mut request, &context, actions),
         }
         self.requests.insert(context.query, request);
         self.complete_or_schedule(now, context.query, actions);
     }
 
+    /// Sends a request to another helper, if it may run again, after a helper that may have run it.
+    fn relay_again(
+        &mut self,
+        now: TimePoint,
+        request: &mut PendingRequest,
+        context: &RelayContext,
+        actions: &mut Vec<ForwardAction>,
+    ) {
+        request.helpers_tried.push(context.helper.clone());
+        request.relay_attempts += context.granted;
+        request.relay_may_have_run = true;
+        self.send_relay(now, request, actions);
+    }
+
     /// Hands a request over if the links are lost and the part `index` has no attempt that may still
     /// succeed; returns whether another daemon has it, or will get it.
     pub(super) fn hand_over(
@@ -217,7 +231,7 @@
         let terms = RelayTerms {
             age: now.since(request.arrived),
             attempts: granted,
-            sent: request.parts.iter().any(|part| part.sent) || request.relay_broke,
+            sent: request.parts.iter().any(|part| part.sent) || request.relay_may_have_run,
             branch: None,
         };
         self.helpers.record_send(&helper);
--- a/policy/src/forward/relay_outcome.rs
+++ b/policy/src/forward/relay_outcome.rs
@@ -1,12 +1,15 @@
 //! Outcomes of relays.
 
-use super::RelayRefusal;
+use super::{
+    forward_reply::is_refusal,
+    RelayRefusal, //
+};
 
 /// How the relay of a request ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RelayOutcome {
-    /// The other daemon answered.
-    Answered,
+    /// The other daemon answered with this HTTP status.
+    Answered(u16),
     /// The other daemon answered, and no replica ran the request.
     NotRun,
     /// The other daemon did not take the request, or it was not sent.
@@ -19,7 +22,8 @@
     /// The name in logs and metrics.
     pub fn as_str(self) -> &'static str {
         match self {
-            Self::Answered => "answered",
+            Self::Answered(status) if is_refusal(status) => "ran_refused",
+            Self::Answered(_) => "answered",
             Self::NotRun => "not_run",
             Self::Declined(refusal) => refusal.as_str(),
             Self::Broken => "broken",
--- a/policy/tests/forward_kit/mod.rs
+++ b/policy/tests/forward_kit/mod.rs
@@ -744,7 +744,8 @@
                     return;
                 }
                 let outcome = match outcome {
-                    "answered" => RelayOutcome::Answered,
+                    "answered" => RelayOutcome::Answered(200),
+                    "refused" => RelayOutcome::Answered(429),
                     "not_run" => RelayOutcome::NotRun,
                     "broken" => RelayOutcome::Broken,
                     refusal => RelayOutcome::Declined(refusal_of(refusal)),
