Count refusals without the replica's word against the replica

On a route whose requests may run again, 250 of 3,459 callers got the failure though six sound replicas had room.

Cause: every reply below 500 counted as a success of the replica: its latency, its failure rate and its recovery. A reply that is no answer to the request (408, 421, 429 or 5xx without the replica's word, and 2xx without its signature) now counts as a failure; 3xx and other 4xx concern the request and count as before.

replies_that_are_no_answer_count_against_the_replica failed before: 200 of 200 requests went to a replica that answers 408 in 1 ms, 2 with status 500; now 2 for each of the statuses, and for unsigned replies.

--- a/policy/src/forward/attempt_results.rs
+++ b/policy/src/forward/attempt_results.rs
@@ -41,7 +41,7 @@
             self.registry.record_connect_failure(now, context.replica);
             self.registry
                 .give_back_cold(now, context.replica, &mut self.rates);
-        } else if reply.not_run || reply.status >= 500 {
+        } else if reply.not_run || !reply.is_answer() {
             self.registry.record_failure(now, context.replica);
         } else {
             let (service_time, recovered) =
--- a/policy/tests/forward_refusals.rs
+++ b/policy/tests/forward_refusals.rs
@@ -169,3 +169,33 @@
         assert_eq!(simulation.sent_relays.len(), helpers, "route {route}");
     }
 }
+
+/// Guards against a replica that fails fast and looks best: replies that are no answer to their request count
+/// against it, whatever their status.
+#[test]
+fn replies_that_are_no_answer_count_against_the_replica() {
+    let sent_to_near = |status: u16, signed: bool| {
+        let mut simulation = simulation(&["a"], 2);
+        let model = ReplicaModel {
+            signed,
+            service_time: ms(1),
+            ..near(status)
+        };
+        simulation.add("s0", "near", model);
+        simulation.sent_attempts.clear();
+        simulation.send_load(ONCE, 200, ms(4_000), ms(1_000));
+        simulation.advance(ms(1_000));
+        let attempts = simulation.sent_attempts.iter();
+        attempts.filter(|sent| sent.replica == "near").count()
+    };
+    let failing = sent_to_near(500, true);
+    assert!(failing <= 20, "{failing} of 200");
+    for (status, signed) in [(408, true), (429, true), (503, true), (200, false)] {
+        let sent = sent_to_near(status, signed);
+        assert_eq!(sent, failing, "{status}, signed {signed}");
+    }
+    for status in [200, 404, 409] {
+        let sent = sent_to_near(status, true);
+        assert!(sent > 150, "{status}: {sent} of 200");
+    }
+}
