Bound the memory for answers of the platform's store

An answer of the store that doesn't end used up the memory of the VM: 82,948,096 bytes with a body without a length, where the VM has 64 MB, and 1,275,060,224 where it came a byte at a time; requests of callers end with the process.

Cause: an answer could have 64 MB, the largest VM list of the product's own interface, and was collected as a list of its pieces, each with an overhead of its own. An answer of the platform's store may now have 4 MB (a page has 1 MB, an item 1 MB before base64), and both clients read bodies by the function that replies of upstreams use, which copies small pieces into one buffer. The head was bounded before: 400 KB by the HTTP library, and informational responses by the time of a call.

--- a/daemon/src/forward/run_forward.rs
+++ b/daemon/src/forward/run_forward.rs
@@ -134,6 +134,9 @@
 const MAX_ADMIN_CONNECTIONS: usize = 16;
 /// Time-out given to `HttpClient`, which allows half of it to connect to the store.
 const STORE_TIMEOUT: Duration = Duration::from_millis(600);
+/// Largest answer of the store, in bytes: a page of about 1 MB, or an item of 1 MB in base64, with room for
+/// larger ones.
+const STORE_ANSWER_MAX_BYTES: usize = 4 * 1024 * 1024;
 /// Time for the body of the store's answer; a configuration may be 1 MB and the link slow.
 const STORE_BODY_TIMEOUT: Duration = Duration::from_secs(3);
 /// Names parts of the work-aware forwarding to switch on, separated by commas, for measurements.
@@ -226,7 +229,8 @@
     let caller_task = spawn_local(serve_callers(caller_port, events.clone()));
     let seed = clock.start_time().0;
     let store_call = HttpClient::new(&format!("http://{}", boot.store_address), STORE_TIMEOUT)?
-        .with_body_timeout(STORE_BODY_TIMEOUT);
+        .with_body_timeout(STORE_BODY_TIMEOUT)
+        .with_answer_max(STORE_ANSWER_MAX_BYTES);
     let incarnation = Incarnation(seed);
     let socket = PeerSocket::bind(boot.peer_address).await?;
     let socket = socket.with_intake(gates.peers);
--- a/daemon/src/store/http_client.rs
+++ b/daemon/src/store/http_client.rs
@@ -11,11 +11,7 @@
     Response,
     StatusCode, //
 };
-use http_body_util::{
-    BodyExt,
-    Full,
-    Limited, //
-};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper_util::{
     client::legacy::{
@@ -32,8 +28,9 @@
 };
 
 use super::StoreError;
+use crate::exchange::read_body;
 
-/// Largest answer, in bytes: the VM list of a large fleet.
+/// Largest answer by default, in bytes: the VM list of a large fleet.
 const ANSWER_MAX_BYTES: usize = 64 * 1024 * 1024;
 /// An idle connection is closed after this time.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -44,6 +41,7 @@
     client: Client<HttpConnector, Full<Bytes>>,
     base: String,
     body_timeout: Duration,
+    answer_max_bytes: usize,
 }
 
 impl HttpClient {
@@ -69,9 +67,18 @@
             client,
             base: base.trim_end_matches('/').into(),
             body_timeout: Duration::ZERO,
+            answer_max_bytes: ANSWER_MAX_BYTES,
         })
     }
 
+    /// Limits answers to `answer_max_bytes`, where the service sends no larger ones.
+    pub(crate) fn with_answer_max(self, answer_max_bytes: usize) -> Self {
+        Self {
+            answer_max_bytes,
+            ..self
+        }
+    }
+
     /// Extends the timeout of calls by `body_timeout` once the head of the answer has arrived, as
     /// the sizes of answers differ widely.
     pub(crate) fn with_body_timeout(self, body_timeout: Duration) -> Self {
@@ -129,7 +136,7 @@
             }
         })?;
         let end = start + call_timeout + self.body_timeout;
-        let answer = timeout_at(end, read_answer(response)).await;
+        let answer = timeout_at(end, read_answer(response, self.answer_max_bytes)).await;
         answer.unwrap_or(Err(StoreError::NoAnswer))
     }
 }
@@ -156,10 +163,11 @@
     StoreError::NoAnswer
 }
 
-async fn read_answer(response: Response<Incoming>) -> Result<(response::Parts, Bytes), StoreError> {
+async fn read_answer(
+    response: Response<Incoming>,
+    max_bytes: usize,
+) -> Result<(response::Parts, Bytes), StoreError> {
     let (head, body) = response.into_parts();
-    let body = Limited::new(body, ANSWER_MAX_BYTES);
-    let collected = body.collect().await;
-    let collected = collected.map_err(|_| StoreError::NoAnswer)?;
-    Ok((head, collected.to_bytes()))
+    let body = read_body(body, max_bytes, |_| true).await;
+    Ok((head, body.map_err(|_| StoreError::NoAnswer)?))
 }
--- a/daemon/tests/forward_endless.rs
+++ b/daemon/tests/forward_endless.rs
@@ -17,6 +17,7 @@
 use platform_standin::{
     call,
     BabblingReplica,
+    BabblingStore,
     EndlessReply,
     FakeReplica,
     RouteText, //
@@ -24,6 +25,10 @@
 
 /// Memory of the smallest VMs of the platform.
 const VM_MEMORY: usize = 160 * 1_000 * 1_000;
+/// Memory of the VM, in megabytes, where a small crowd is to use it up.
+const SMALL_MEMORY_MB: usize = 64;
+/// Descriptors of the platform's smallest VM.
+const VM_FDS: usize = 2_870;
 /// Largest head of a reply that is read, with what the sockets of both sides buffer meanwhile.
 const HEAD_BYTES_MAX: usize = 8 * 1024 * 1024;
 /// The same for a whole reply.
@@ -105,3 +110,27 @@
         replicas.iter().all(|replica| replica.open_replies() == 0)
     });
 }
+
+/// Guards against a store whose answers never end: they use up the memory, and the requests of callers end with
+/// the process.
+#[test]
+fn endless_answers_of_the_store_do_not_use_up_the_memory() {
+    let mut cluster = ForwardCluster::start(&[RouteText::single("/one/", "s1")]);
+    let _served = FakeReplica::start(&cluster.store, "s1", "i-served", "z1");
+    let store = BabblingStore::start(cluster.store_address);
+    cluster.store_address = store.address();
+    let daemon = cluster.limited_daemon("z1", SMALL_MEMORY_MB, VM_FDS);
+    for reply in EndlessReply::ALL {
+        store.babble(Some(reply));
+        let before = store.endless();
+        wait_for("the store has babbled", || store.endless() >= before + 4);
+        assert_eq!(get(&daemon, "/one/x", "served").status, 200, "{reply:?}");
+        let peak = daemon.peak_memory();
+        assert!(peak < SMALL_MEMORY_MB * 1024 * 1024, "{reply:?}: {peak}");
+    }
+    store.babble(None);
+    let _new = FakeReplica::start(&cluster.store, "s1", "i-new", "z1");
+    wait_for("the daemon reads the store again", || {
+        daemon.log().contains("i-new")
+    });
+}
