Count replies of replicas until their callers have them

Complete replies were counted no more, so that large ones whose callers did not read used up the memory: 50 callers, replies of 7,500,000 bytes each, peak 398,880,768 bytes where the VM has 120 MB.

The budget for replies gave a reply's bytes back when the reply was complete, which bounds replies without an end but not complete ones up to 8 MB. The bytes now hold their account until their last copy is dropped: by the connection of the caller, or by the answer that is merged from them. The budget is the same, a fifth of the memory; large replies find no room first, small ones are served on.

large_replies_that_wait_for_their_callers_do_not_use_up_the_memory failed before with that figure, and passes; it also asks for an ordinary answer beside them and for a large one after them.

--- a/daemon/src/forward/exchange_call.rs
+++ b/daemon/src/forward/exchange_call.rs
@@ -23,6 +23,6 @@
     pub(super) id: HeaderValue,
     /// The mark by which the connection remembers the request.
     pub(super) mark: RequestMark,
-    /// Memory for replies that are not complete.
+    /// Memory for replies.
     pub(super) budget: ReplyBudget,
 }
--- a/daemon/src/forward/forward_loop.rs
+++ b/daemon/src/forward/forward_loop.rs
@@ -138,7 +138,7 @@
     pub(super) last_query: Arc<AtomicU64>,
     pub(super) exchanges: HashMap<AttemptId, RunningExchange>,
     pub(super) idle_pool: IdlePool,
-    /// Memory for replies that are not complete.
+    /// Memory for replies that callers don't have yet.
     pub(super) reply_budget: ReplyBudget,
     /// Replicas to which a connection is being opened ahead of need.
     pub(super) preconnecting: BTreeSet<ReplicaKey>,
--- a/daemon/src/forward/replica_exchange.rs
+++ b/daemon/src/forward/replica_exchange.rs
@@ -123,7 +123,7 @@
     let mut account = budget.start_reply();
     let may_hold = |bytes: usize| account.try_take(bytes);
     let body = match read_body(body, MAX_REPLY_BYTES, may_hold).await {
-        Ok(body) => body,
+        Ok(body) => account.attach(body),
         Err(BodyFailure::Broken) if !link.is_overrun() => {
             return ExchangeOutcome::failed(broken, opened);
         }
--- a/daemon/src/forward/reply_budget.rs
+++ b/daemon/src/forward/reply_budget.rs
@@ -1,28 +1,33 @@
-//! Limits the memory for replies of replicas that are not complete, and for copies of relayed bodies.
+//! Limits the memory for replies of replicas, until callers have them, and for copies of relayed bodies.
 
-use std::{
-    cell::Cell,
-    rc::Rc, //
+use std::sync::{
+    atomic::{
+        AtomicUsize,
+        Ordering, //
+    },
+    Arc, //
 };
 
-/// Bytes of incomplete replies that a daemon holds at most if the settings don't name its memory.
-const INCOMPLETE_BYTES_MAX: usize = 32 * 1024 * 1024;
-/// Part of the memory that incomplete replies may take.
+use bytes::Bytes;
+
+/// Bytes of replies that a daemon holds at most if the settings don't name its memory.
+const HELD_BYTES_MAX: usize = 32 * 1024 * 1024;
+/// Part of the memory that replies may take.
 const MEMORY_DIVISOR: u64 = 5;
-/// An incomplete reply may take one part of this many of the bytes that are still free, so that
-/// replies without an end fail before they leave no room for others.
+/// A reply may take one part of this many of the bytes that are still free, so that replies without an
+/// end fail before they leave no room for others.
 const FREE_DIVISOR: usize = 2;
 
 /// The free bytes, shared by all exchanges of a daemon.
 #[derive(Clone, Debug)]
 pub(super) struct ReplyBudget {
-    free_bytes: Rc<Cell<usize>>,
+    free_bytes: Arc<AtomicUsize>,
 }
 
 impl Default for ReplyBudget {
     fn default() -> Self {
         Self {
-            free_bytes: Rc::new(Cell::new(INCOMPLETE_BYTES_MAX)),
+            free_bytes: Arc::new(AtomicUsize::new(HELD_BYTES_MAX)),
         }
     }
 }
@@ -32,9 +37,9 @@
     pub(super) fn of_memory(memory_bytes: Option<u64>) -> Self {
         let part = memory_bytes.map(|bytes| bytes / MEMORY_DIVISOR);
         let part = part.and_then(|bytes| usize::try_from(bytes).ok());
-        let max = INCOMPLETE_BYTES_MAX.min(part.unwrap_or(INCOMPLETE_BYTES_MAX));
+        let max = HELD_BYTES_MAX.min(part.unwrap_or(HELD_BYTES_MAX));
         Self {
-            free_bytes: Rc::new(Cell::new(max)),
+            free_bytes: Arc::new(AtomicUsize::new(max)),
         }
     }
 
@@ -57,20 +62,43 @@
 impl ReplyAccount {
     /// Takes `bytes` more; returns false if the reply is too large for what is free.
     pub(super) fn try_take(&mut self, bytes: usize) -> bool {
-        let free = self.budget.free_bytes.get();
         let held = self.held_bytes + bytes;
-        if bytes > free || held > (free - bytes) / FREE_DIVISOR {
-            return false;
+        let left = |free: usize| {
+            let left = free.checked_sub(bytes)?;
+            (held <= left / FREE_DIVISOR).then_some(left)
+        };
+        let free_bytes = &self.budget.free_bytes;
+        let taken = free_bytes.fetch_update(Ordering::Relaxed, Ordering::Relaxed, left);
+        if taken.is_ok() {
+            self.held_bytes = held;
         }
-        self.budget.free_bytes.set(free - bytes);
-        self.held_bytes = held;
-        true
+        taken.is_ok()
+    }
+
+    /// Keeps the bytes of the account until the last copy of `body` is dropped.
+    pub(super) fn attach(self, body: Bytes) -> Bytes {
+        Bytes::from_owner(HeldBody {
+            body,
+            _account: self,
+        })
+    }
+}
+
+/// A complete body with its account.
+struct HeldBody {
+    body: Bytes,
+    _account: ReplyAccount,
+}
+
+impl AsRef<[u8]> for HeldBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.body
     }
 }
 
 impl Drop for ReplyAccount {
     fn drop(&mut self) {
-        let free = self.budget.free_bytes.get();
-        self.budget.free_bytes.set(free + self.held_bytes);
+        let free_bytes = &self.budget.free_bytes;
+        free_bytes.fetch_add(self.held_bytes, Ordering::Relaxed);
     }
 }
--- a/daemon/tests/forward_endless.rs
+++ b/daemon/tests/forward_endless.rs
@@ -16,10 +16,12 @@
 };
 use platform_standin::{
     call,
+    send,
     BabblingReplica,
     BabblingStore,
     EndlessReply,
     FakeReplica,
+    ReplicaFault,
     RouteText, //
 };
 
@@ -134,3 +136,40 @@
         daemon.log().contains("i-new")
     });
 }
+
+/// Guards against large replies that callers do not read: each is complete and within its limit, and all of them
+/// are held until their callers have them.
+#[test]
+fn large_replies_that_wait_for_their_callers_do_not_use_up_the_memory() {
+    /// More than the system buffers for a connection, and less than the largest reply.
+    const REPLY_BYTES: usize = 7_500_000;
+    const MEMORY_MB: usize = 120;
+    const CALLERS: usize = 50;
+    let routes = [
+        RouteText::single("/large/", "s1"),
+        RouteText::single("/one/", "s2"),
+    ];
+    let mut cluster = ForwardCluster::start(&routes);
+    let large = FakeReplica::start(&cluster.store, "s1", "i-large", "z1");
+    large.set_fault(ReplicaFault::Large(REPLY_BYTES));
+    let _served = FakeReplica::start(&cluster.store, "s2", "i-served", "z1");
+    let daemon = cluster.limited_daemon("z1", MEMORY_MB, VM_FDS);
+    let patience = Duration::from_secs(30);
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|number| {
+            let id = format!("large-{number}");
+            let caller = send(daemon.callers(), "GET /large/x", &id, patience, b"");
+            // Replies that are read at the same time leave no room for each other.
+            thread::sleep(Duration::from_millis(100));
+            caller
+        })
+        .collect();
+    assert_eq!(get(&daemon, "/one/x", "beside").status, 200);
+    let peak = daemon.peak_memory();
+    assert!(peak < MEMORY_MB * 1024 * 1024, "{peak}, {}", large.runs());
+    drop(callers);
+    wait_for("a large reply is passed on again", || {
+        let answer = get(&daemon, "/large/x", &format!("again-{}", large.runs()));
+        answer.status == 200 && answer.body.len() == REPLY_BYTES
+    });
+}
