Begin anew with the crashes under a request once all are taken back

Cause: from the third replica that ends under a request, a success has 1.5 s to show another cause. Where another daemon took the crashes back, the time of the third end stayed, so that the three replicas of the next crash, seconds later, were taken for the end of that time and refused the request at once. A daemon that saw the success itself was not affected. Both times are now reset wherever the last crash that counts is taken back.

crashes_that_were_taken_back_are_not_the_beginning_of_later_ones failed before (refused 5 ms after the second crash) and passes; it also checks that three ends without a success still refuse the request. Tests of crashes and late sends of policy pass.

--- a/policy/src/forward/crash_record.rs
+++ b/policy/src/forward/crash_record.rs
@@ -183,6 +183,9 @@
         notice.forgiven = notice.forgiven.max(refuted);
         if notice.evidence() == 0 {
             self.sites.forgive_all();
+            // Replicas that end from now on are others, also if another daemon has taken the crashes back.
+            self.third_end_at = TimePoint::NEVER;
+            self.condemn_at = TimePoint::NEVER;
         }
         if notice.evidence() < REFUSAL_CRASHES {
             notice.refused_until = TimePoint::default();
