--- a/daemon/src/forward/inbox_event.rs
+++ b/daemon/src/forward/inbox_event.rs
@@ -25,6 +25,7 @@
 use super::{
     arrived_request::ArrivedRequest,
     replica_exchange::ExchangeOutcome,
+    reply_budget::ReplyAccount,
     store_reader::{
         ReadError,
         StoreBatch, //
@@ -91,7 +92,7 @@
     /// A daemon that was asked how many requests it takes answered, or did not.
     OfferReceived(DaemonName, RelayOffer),
     /// The relay of a request ended.
-    RelayEnded(AttemptId, Result<BranchReply, RelayFailure>),
+    RelayEnded(AttemptId, Result<(BranchReply, ReplyAccount), RelayFailure>),
     /// A probe of a replica ended.
     Probed(ReplicaKey, Result<UpstreamLink, ConnectFailure>),
     /// An attempt to open a connection ahead of need ended; `None` if it failed.
--- a/daemon/src/forward/relay_tasks.rs
+++ b/daemon/src/forward/relay_tasks.rs
@@ -61,6 +61,7 @@
         ReplicaReply,
         CONNECT_TIMEOUT, //
     },
+    reply_budget::ReplyAccount,
 };
 use crate::{
     lifecycle::LifePhase,
@@ -84,7 +85,8 @@
         let asked = self.peer_address(to);
         let asked = asked.map(|address| {
             let body = Body::OfferCall(call);
-            self.peer_link.relay(address, body, CONNECT_TIMEOUT)
+            self.peer_link
+                .relay(address, body, CONNECT_TIMEOUT, |_| true)
         });
         let (events, to) = (self.events.clone(), to.clone());
         spawn_local(async move {
@@ -105,12 +107,16 @@
         };
         request.helper = Some(command.to.clone());
         // Bodies of requests that many callers send at once would otherwise be copied for all of them.
-        let mut copies = self.reply_budget.start_reply();
+        let copies = self.reply_budget.start_reply();
+        let account = self.reply_budget.start_reply();
         let copied_bytes = RELAY_COPIES * request.template.body.len();
         let address = address.filter(|_| copied_bytes == 0 || copies.try_take(copied_bytes));
         let relay = address.map(|address| {
             let call = to_call(request, &command);
-            self.peer_link.relay(address, call, command.connect_timeout)
+            let held = account.clone();
+            let may_hold = move |bytes| held.try_take(bytes);
+            self.peer_link
+                .relay(address, call, command.connect_timeout, may_hold)
         });
         let events = self.events.clone();
         let (attempt, query) = (command.attempt, command.query);
@@ -129,6 +135,7 @@
                 None => Err(RelayFailure::Unsent),
             };
             drop(copies);
+            let result = result.map(|reply| (reply, account));
             // The channel is closed only when the process ends.
             let _ = events.send(InboxEvent::RelayEnded(attempt, result));
         });
@@ -145,23 +152,28 @@
         &mut self,
         now: TimePoint,
         attempt: AttemptId,
-        result: Result<BranchReply, RelayFailure>,
+        result: Result<(BranchReply, ReplyAccount), RelayFailure>,
     ) {
         // The relay may have been cancelled while this event was queued.
         let Some(RunningExchange { query, .. }) = self.exchanges.remove(&attempt) else {
             return;
         };
         let (outcome, reply) = match result {
-            Ok(mut branch) => {
+            Ok((mut branch, account)) => {
                 let answer = to_branch_answer(&mut branch);
                 let mut reply = branch.reply.unwrap_or_default();
                 let instances = std::mem::take(&mut reply.leaving);
                 self.dispatch(now, ForwardEvent::LeavingNamed { instances });
-                if let Some(answer) = answer {
+                if let Some(mut answer) = answer {
+                    answer.records = account.attach(answer.records);
                     self.dispatch(now, ForwardEvent::BranchGathered { attempt, answer });
                     return;
                 }
-                from_reply(reply)
+                let (outcome, reply) = from_reply(reply);
+                (
+                    outcome,
+                    reply.map(|(head, body)| (head, account.attach(body))),
+                )
             }
             Err(RelayFailure::Unsent) => (RelayOutcome::Declined(RelayRefusal::NoAnswer), None),
             Err(RelayFailure::Broken) => (RelayOutcome::Broken, None),
--- a/daemon/src/forward/replica_exchange.rs
+++ b/daemon/src/forward/replica_exchange.rs
@@ -120,7 +120,7 @@
         _ => return ExchangeOutcome::failed(ForwardFailure::Garbled, opened),
     };
     link.allow_body(MAX_REPLY_BYTES);
-    let mut account = budget.start_reply();
+    let account = budget.start_reply();
     let may_hold = |bytes: usize| account.try_take(bytes);
     let body = match read_body(body, MAX_REPLY_BYTES, may_hold).await {
         Ok(body) => account.attach(body),
--- a/daemon/src/forward/reply_budget.rs
+++ b/daemon/src/forward/reply_budget.rs
@@ -45,38 +45,47 @@
 
     /// Starts the account of one reply.
     pub(super) fn start_reply(&self) -> ReplyAccount {
-        ReplyAccount {
+        ReplyAccount(Arc::new(HeldBytes {
             budget: self.clone(),
-            held_bytes: 0,
-        }
+            held_bytes: AtomicUsize::new(0),
+        }))
     }
 }
 
-/// The bytes that one reply holds. Dropping it frees them.
+/// The bytes that one reply holds. Dropping the last clone frees them.
+#[derive(Clone, Debug)]
+pub(super) struct ReplyAccount(Arc<HeldBytes>);
+
 #[derive(Debug)]
-pub(super) struct ReplyAccount {
+struct HeldBytes {
     budget: ReplyBudget,
-    held_bytes: usize,
+    held_bytes: AtomicUsize,
 }
 
 impl ReplyAccount {
     /// Takes `bytes` more; returns false if the reply is too large for what is free.
-    pub(super) fn try_take(&mut self, bytes: usize) -> bool {
-        let held = self.held_bytes + bytes;
+    pub(super) fn try_take(&self, bytes: usize) -> bool {
+        let HeldBytes { budget, held_bytes } = &*self.0;
+        let held = held_bytes.load(Ordering::Relaxed) + bytes;
         let left = |free: usize| {
             let left = free.checked_sub(bytes)?;
             (held <= left / FREE_DIVISOR).then_some(left)
         };
-        let free_bytes = &self.budget.free_bytes;
+        let free_bytes = &budget.free_bytes;
         let taken = free_bytes.fetch_update(Ordering::Relaxed, Ordering::Relaxed, left);
         if taken.is_ok() {
-            self.held_bytes = held;
+            held_bytes.store(held, Ordering::Relaxed);
         }
         taken.is_ok()
     }
 
-    /// Keeps the bytes of the account until the last copy of `body` is dropped.
+    /// Keeps what `body` takes until its last copy is dropped, and frees the rest.
     pub(super) fn attach(self, body: Bytes) -> Bytes {
+        let HeldBytes { budget, held_bytes } = &*self.0;
+        let held = held_bytes.load(Ordering::Relaxed);
+        let kept = held.min(body.len());
+        held_bytes.store(kept, Ordering::Relaxed);
+        budget.free_bytes.fetch_add(held - kept, Ordering::Relaxed);
         Bytes::from_owner(HeldBody {
             body,
             _account: self,
@@ -96,9 +105,9 @@
     }
 }
 
-impl Drop for ReplyAccount {
+impl Drop for HeldBytes {
     fn drop(&mut self) {
-        let free_bytes = &self.budget.free_bytes;
-        free_bytes.fetch_add(self.held_bytes, Ordering::Relaxed);
+        let held = *self.held_bytes.get_mut();
+        self.budget.free_bytes.fetch_add(held, Ordering::Relaxed);
     }
 }
--- a/daemon/src/peering/peer_link.rs
+++ b/daemon/src/peering/peer_link.rs
@@ -233,9 +233,10 @@
         to: SocketAddr,
         body: Body,
         connect_timeout: Duration,
+        may_hold: impl FnMut(usize) -> bool + 'static,
     ) -> impl std::future::Future<Output = Result<Body, RelayFailure>> + 'static {
         let pool = self.relay_pool.clone();
-        async move { pool.call(to, body, connect_timeout).await }
+        async move { pool.call(to, body, connect_timeout, may_hold).await }
     }
 }
 
--- a/daemon/src/peering/relay_pool.rs
+++ b/daemon/src/peering/relay_pool.rs
@@ -72,12 +72,14 @@
         }
     }
 
-    /// Calls a peer and waits for the answer, which the caller may bound by dropping the future.
+    /// Calls a peer and waits for the answer, which the caller may bound by dropping the future. `may_hold` is
+    /// asked for the memory of the answer.
     pub(super) async fn call(
         &self,
         to: SocketAddr,
         body: Body,
         connect_timeout: Duration,
+        may_hold: impl FnMut(usize) -> bool,
     ) -> Result<Body, RelayFailure> {
         let stream = match self.take_idle(to) {
             Some(stream) => stream,
@@ -93,7 +95,7 @@
             body: Some(body),
             ..self.template.clone()
         };
-        let exchange = exchange_frames(stream, &self.key, &frame).await;
+        let exchange = exchange_frames(stream, &self.key, &frame, may_hold).await;
         let (stream, body) = exchange.map_err(|_| RelayFailure::Broken)?;
         self.keep_idle(to, stream);
         Ok(body)
--- a/daemon/src/peering/stream_frame.rs
+++ b/daemon/src/peering/stream_frame.rs
@@ -44,20 +44,28 @@
     Ok(())
 }
 
-/// Reads a frame. Memory is allocated as bytes arrive, not by the announced length, which the
-/// sender could choose at will before it is authenticated.
+/// Reads a frame with an answer. Memory is allocated as bytes arrive, not by the announced length, which the
+/// sender could choose at will before it is authenticated. `may_hold` is asked for the bytes of each step.
+/// The copy that is decoded from them takes their place at once.
 ///
 /// # Errors
 ///
 /// [`PeerError`]; the connection cannot be used any more.
-pub(super) async fn read_frame(
+pub(super) async fn read_answer(
     stream: &mut (impl AsyncRead + Unpin),
     key: &[u8; 32],
+    mut may_hold: impl FnMut(usize) -> bool,
 ) -> Result<StreamBody, PeerError> {
     let length = stream.read_u32().await? as usize;
     check_size(length)?;
     let mut bytes = Vec::new();
-    stream.take(length as u64).read_to_end(&mut bytes).await?;
+    while bytes.len() < length {
+        let step = next_step(bytes.len(), length);
+        if !may_hold(step) {
+            return Err(PeerError::NoRoom);
+        }
+        read_step(stream, &mut bytes, step, |_| ()).await?;
+    }
     Ok(open_stream(key, &bytes)?)
 }
 
@@ -77,24 +85,41 @@
     slot.start_body();
     let mut bytes = Vec::new();
     while bytes.len() < length {
-        let capacity = (2 * bytes.len()).max(STEP_BYTES_MIN).min(length);
-        if !slot.take((capacity - bytes.len()) * FRAME_COPIES).await {
+        let step = next_step(bytes.len(), length);
+        if !slot.take(step * FRAME_COPIES).await {
             return Err(PeerError::NoRoom);
         }
-        bytes.reserve_exact(capacity - bytes.len());
-        while bytes.len() < capacity {
-            let rest = (capacity - bytes.len()) as u64;
-            let count = (&mut *stream).take(rest).read_buf(&mut bytes).await?;
-            if count == 0 {
-                return Err(PeerError::ConnectionFailed(UnexpectedEof.into()));
-            }
-            slot.on_received(count);
-        }
+        read_step(stream, &mut bytes, step, |count| slot.on_received(count)).await?;
     }
     slot.end_body();
     Ok(open_stream(key, &bytes)?)
 }
 
+/// How many bytes are read next of a frame of `length` bytes, of which `read` have been read.
+fn next_step(read: usize, length: usize) -> usize {
+    (2 * read).max(STEP_BYTES_MIN).min(length) - read
+}
+
+/// Reads `step` further bytes; `on_received` is told of each piece.
+async fn read_step(
+    stream: &mut (impl AsyncRead + Unpin),
+    bytes: &mut Vec<u8>,
+    step: usize,
+    on_received: impl Fn(usize),
+) -> Result<(), PeerError> {
+    let end = bytes.len() + step;
+    bytes.reserve_exact(step);
+    while bytes.len() < end {
+        let rest = (end - bytes.len()) as u64;
+        let count = (&mut *stream).take(rest).read_buf(bytes).await?;
+        if count == 0 {
+            return Err(PeerError::ConnectionFailed(UnexpectedEof.into()));
+        }
+        on_received(count);
+    }
+    Ok(())
+}
+
 fn check_size(bytes: usize) -> Result<(), PeerError> {
     if bytes > FRAME_MAX_BYTES {
         return Err(PeerError::FrameTooLarge {
--- a/daemon/src/peering/stream_pool.rs
+++ b/daemon/src/peering/stream_pool.rs
@@ -20,7 +20,7 @@
 
 use super::{
     stream_frame::{
-        read_frame,
+        read_answer,
         write_frame, //
     },
     PeerError, //
@@ -74,14 +74,15 @@
         // The connection is taken out, so that a cancelled call does not leave a partly read
         // connection in the pool.
         if let Some(stream) = pooled.take() {
-            if let Ok((stream, body)) = exchange_frames(stream, &self.key, &frame).await {
+            let exchange = exchange_frames(stream, &self.key, &frame, |_| true);
+            if let Ok((stream, body)) = exchange.await {
                 *pooled = Some(stream);
                 return Ok(body);
             }
         }
         let stream = TcpStream::connect(to).await?;
         stream.set_nodelay(true)?;
-        let (stream, body) = exchange_frames(stream, &self.key, &frame).await?;
+        let (stream, body) = exchange_frames(stream, &self.key, &frame, |_| true).await?;
         *pooled = Some(stream);
         Ok(body)
     }
@@ -105,7 +106,8 @@
     }
 }
 
-/// Sends a call and reads its answer; returns the connection, which can carry another call.
+/// Sends a call and reads its answer; returns the connection, which can carry another call. `may_hold` is asked
+/// for the memory of the answer.
 ///
 /// # Errors
 ///
@@ -114,9 +116,10 @@
     mut stream: TcpStream,
     key: &[u8; 32],
     frame: &StreamBody,
+    may_hold: impl FnMut(usize) -> bool,
 ) -> Result<(TcpStream, Body), PeerError> {
     write_frame(&mut stream, key, frame).await?;
-    let answer = read_frame(&mut stream, key).await?;
+    let answer = read_answer(&mut stream, key, may_hold).await?;
     match answer.body {
         Some(body) if answer.call == frame.call => Ok((stream, body)),
         _ => Err(PeerError::CallMismatch),
--- a/daemon/tests/peering_link.rs
+++ b/daemon/tests/peering_link.rs
@@ -182,8 +182,8 @@
     run_local(async {
         let (_, caller, _inputs) = open_link("a", KEY).await;
         let (address, _link, mut inputs) = open_link("b", KEY).await;
-        let calls =
-            [1, 2].map(|_| spawn_local(caller.relay(address, relay_call(), CONNECT_TIMEOUT)));
+        let calls = [1, 2]
+            .map(|_| spawn_local(caller.relay(address, relay_call(), CONNECT_TIMEOUT, |_| true)));
         let mut replies = Vec::new();
         while replies.len() < 2 {
             let Some(PeerInput::Called { body, reply, .. }) = inputs.recv().await else {
@@ -207,7 +207,7 @@
     run_local(async {
         let (_, caller, _inputs) = open_link("a", KEY).await;
         let (address, _link, mut inputs) = open_link("b", KEY).await;
-        let call = spawn_local(caller.relay(address, relay_call(), CONNECT_TIMEOUT));
+        let call = spawn_local(caller.relay(address, relay_call(), CONNECT_TIMEOUT, |_| true));
         let Some(PeerInput::Called { mut reply, .. }) = inputs.recv().await else {
             panic!("no call");
         };
@@ -234,12 +234,14 @@
         let question = Body::OfferCall(OfferCall::default());
         let answer = timeout(
             Duration::from_secs(5),
-            caller.relay(address, question, CONNECT_TIMEOUT),
+            caller.relay(address, question, CONNECT_TIMEOUT, |_| true),
         )
         .await;
         assert_eq!(answer.expect("in time"), Err(RelayFailure::Broken));
         let unused = SocketAddr::from(([127, 0, 0, 1], 1));
-        let answer = caller.relay(unused, relay_call(), CONNECT_TIMEOUT).await;
+        let answer = caller
+            .relay(unused, relay_call(), CONNECT_TIMEOUT, |_| true)
+            .await;
         assert_eq!(answer, Err(RelayFailure::Unsent));
     });
 }
