Check the links only by replicas of configured services

Cause: the replicas for health checks were taken from all registrations. One of a service that no route names is never sent a request, so it shows no sign of a loss and is checked first: where it refuses, it undoes the answers of the others, so that the links never count as back; where it accepts connections, that counts as an answer, since its health path is not known, and dismisses each suspicion. Only replicas of services that the route table names are checked now, and only they count as listed.

In the simulation a refused check now ends before an answered one, as connections do.

--- a/policy/src/forward/forward_engine.rs
+++ b/policy/src/forward/forward_engine.rs
@@ -315,10 +315,8 @@
                 accounts,
             }));
         }
-        for (name, connections) in &table.services {
-            let service = self.registry.index_of(name);
-            self.registry.services[service].max_connections = *connections;
-        }
+        self.registry.set_services(&table.services);
+        self.reach.set_listed(self.registry.listed_count());
         self.registry.set_cold_limits(now, table);
         let names: BTreeSet<&RouteName> = table.routes.iter().map(|route| &route.name).collect();
         self.routes.retain(|name, _| names.contains(name));
--- a/policy/src/forward/link_checks.rs
+++ b/policy/src/forward/link_checks.rs
@@ -118,7 +118,8 @@
         let records = self.registry.records.iter();
         let usable = records.filter(|(key, record)| {
             let rests = now < record.statements.rest_until;
-            record.is_wanted() && !rests && !self.reach.is_checked(**key)
+            let usable = record.is_wanted() && !rests && self.registry.is_configured(record);
+            usable && !self.reach.is_checked(**key)
         });
         let checked = |service: usize, zone: &ZoneName| {
             let records = self.registry.records.iter();
--- a/policy/src/forward/replica_registry.rs
+++ b/policy/src/forward/replica_registry.rs
@@ -136,10 +136,28 @@
         }
     }
 
-    /// Number of replicas that the directory lists.
+    /// Number of replicas that the directory lists, of services that the route table names.
     pub(super) fn listed_count(&self) -> usize {
         let records = self.records.values();
-        records.filter(|record| record.listed).count()
+        let is_listed = |record: &&ReplicaRecord| record.listed && self.is_configured(record);
+        records.filter(is_listed).count()
+    }
+
+    /// Whether the route table in force names the service of a replica.
+    pub(super) fn is_configured(&self, record: &ReplicaRecord) -> bool {
+        self.services[record.service].configured
+    }
+
+    /// Takes over which services the route table names, with the connections of their replicas.
+    pub(super) fn set_services(&mut self, services: &[(ServiceName, u32)]) {
+        for state in &mut self.services {
+            state.configured = false;
+        }
+        for (name, connections) in services {
+            let index = self.index_of(name);
+            self.services[index].configured = true;
+            self.services[index].max_connections = *connections;
+        }
     }
 
     /// Index of a service, which is added if it is new. Services are never removed, so an index
@@ -151,6 +169,7 @@
         let index = self.services.len();
         self.services.push(ServiceState {
             name: name.clone(),
+            configured: false,
             replicas: Vec::new(),
             budget: RetryBudget::new(
                 self.settings.retry_budget_ratio * RATIO_SHARE,
--- a/policy/src/forward/service_state.rs
+++ b/policy/src/forward/service_state.rs
@@ -18,6 +18,8 @@
 pub(super) struct ServiceState {
     /// The service's name in the route table and the directory.
     pub(super) name: ServiceName,
+    /// Whether the route table in force names it. Others may register what is no replica of this system.
+    pub(super) configured: bool,
     /// Its replicas, including unlisted ones with attempts in flight.
     pub(super) replicas: Vec<ReplicaKey>,
     /// Limit on hedges and retries.
--- a/policy/tests/forward_kit/mod.rs
+++ b/policy/tests/forward_kit/mod.rs
@@ -231,6 +231,8 @@
     pub(crate) mute: BTreeSet<usize>,
     /// What delegates have gathered, on its way back.
     branch_answers: BTreeMap<(usize, AttemptId), BranchAnswer>,
+    /// A service of which other programs register replicas. No cut concerns them.
+    pub(crate) foreign_service: Option<&'static str>,
     /// How all relays end at once, if they do.
     pub(crate) relays_end: Option<&'static str>,
     /// The client account of requests that are sent from now on.
@@ -305,6 +307,7 @@
             cuts: BTreeMap::new(),
             mute: BTreeSet::new(),
             branch_answers: BTreeMap::new(),
+            foreign_service: None,
             relays_end: None,
             account: None,
             asks: Vec::new(),
@@ -552,14 +555,20 @@
                 ForwardAction::CheckHealth {
                     replica, service, ..
                 } => {
-                    let cut = self.cuts.contains_key(&daemon);
+                    let foreign = &self.foreign_service;
+                    let is_foreign = foreign
+                        .as_ref()
+                        .is_some_and(|name| *name == service.as_str());
+                    let cut = self.cuts.contains_key(&daemon) && !is_foreign;
                     let runs = |(name, model): (&String, &ReplicaModel)| {
                         let of_service = self.services[name] == service.as_str();
                         of_service && !model.down && !is_silent(model, now)
                     };
                     let answered = !cut && self.models.iter().any(runs);
                     let event = PlannedEvent::HealthChecked(daemon, replica, answered);
-                    self.schedule(ms(20), event);
+                    // A refused connection is known before a reply can come.
+                    let refused = !answered && !cut;
+                    self.schedule(if refused { ms(2) } else { ms(20) }, event);
                 }
                 ForwardAction::AskHelper { to, helpers } => {
                     self.asks.push((now, daemon));
--- a/policy/tests/forward_stranded.rs
+++ b/policy/tests/forward_stranded.rs
@@ -468,3 +468,58 @@
     simulation.advance(ms(2_500));
     assert_eq!(lost_at(&simulation, 0), Some(LinkLoss::Silent));
 }
+
+/// Adds a replica that another program registers, of a service that no route names.
+fn add_foreign_replica(simulation: &mut ForwardSimulation, down: bool) {
+    simulation.foreign_service = Some("foreign");
+    let model = ReplicaModel {
+        down,
+        ..ReplicaModel::default()
+    };
+    simulation.add("foreign", "foreign-1", model);
+}
+
+/// Guards against an outage of all replicas that never ends for a daemon, because a registration of another
+/// service fails each health check (review/6, first outcome).
+#[test]
+fn a_foreign_registration_that_refuses_does_not_prolong_an_outage() {
+    let mut simulation = ForwardSimulation::new(&["a", "b"], vec![route("one", single("s0"))], 40);
+    for zone in ZONES {
+        let model = ReplicaModel {
+            zone,
+            ..ReplicaModel::default()
+        };
+        simulation.add("s0", &format!("s0-{zone}"), model);
+    }
+    add_foreign_replica(&mut simulation, true);
+    simulation.send_load(0, 40, ms(3_000), ms(1_000));
+    for down in [true, false] {
+        for zone in ZONES {
+            let model = simulation.models.get_mut(&format!("s0-{zone}"));
+            model.unwrap().down = down;
+        }
+        simulation.send_load(0, 40, ms(3_000), ms(4_500));
+    }
+    simulation.advance(ms(3_000));
+    simulation.answered.clear();
+    simulation.send_load(0, 40, ms(3_000), ms(1_000));
+    simulation.advance(ms(3_000));
+    for daemon in 0..2 {
+        let (served, all) = served_of(&simulation, daemon);
+        assert!(all > 0 && served == all, "{served} of {all}");
+    }
+}
+
+/// Guards against a daemon that does not find out that it is cut off from all replicas, because a registration of
+/// another service answers its health check (review/6, second outcome).
+#[test]
+fn a_foreign_registration_that_answers_does_not_hide_lost_links() {
+    for cut in [SimulatedCut::Hang, SimulatedCut::Refuse] {
+        let mut simulation = cluster(3);
+        add_foreign_replica(&mut simulation, false);
+        load(&mut simulation, 30, ms(1_000));
+        simulation.cuts.insert(0, cut);
+        load(&mut simulation, 200, KNOWN_WITHIN);
+        assert!(lost_at(&simulation, 0).is_some(), "{cut:?}");
+    }
+}
