--- a/policy/src/forward/helper_table.rs
+++ b/policy/src/forward/helper_table.rs
@@ -12,9 +12,11 @@
     DaemonName,
     MemberBuild,
     RegionName,
+    RouteName,
     TimePoint,
     ZoneName, //
 };
+use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::{
@@ -35,6 +37,8 @@
 const HOPE_PERIOD: Duration = Duration::from_millis(500);
 /// Time after a refusal for which a daemon is not asked again.
 const REFUSED_PERIOD: Duration = Duration::from_secs(1);
+/// Time for which a helper gets no requests of a route after it had no room for one of them.
+const FULL_PERIOD: Duration = Duration::from_millis(250);
 /// Daemons that are asked in a second at most, beside the helpers.
 const ASKS_PER_SECOND: f64 = 12.0;
 /// Stranded daemons of a data centre after which its others are asked last.
@@ -66,6 +70,8 @@
     offer: Option<(u32, TimePoint)>,
     /// Why it takes none, and until when it is not asked again.
     refusal: Option<(RelayRefusal, TimePoint)>,
+    /// Routes for whose requests it had no room, and until when it gets none of them.
+    full_for: SmallVec<[(RouteName, TimePoint); 2]>,
     /// Requests of this daemon that it has.
     in_flight: u32,
     /// Requests sent to it since its last offer.
@@ -236,10 +242,11 @@
         Some(daemon)
     }
 
-    /// The helper that a request with the given placement is sent to, other than those in `tried`.
+    /// The helper that a request of `route` with the given placement is sent to, other than those in `tried`.
     pub(super) fn choose(
         &self,
         now: TimePoint,
+        route: &RouteName,
         placement: &RequestPlacement,
         tried: &[DaemonName],
     ) -> Option<DaemonName> {
@@ -247,6 +254,7 @@
         let usable = helpers.filter(|(daemon, record)| {
             let free = record.offer.map_or(0, |(free, _)| free);
             let may_take = record.takes(placement) && !tried.contains(daemon);
+            let may_take = may_take && !record.is_full_for(now, route);
             record.offers(now) && record.used < free && may_take
         });
         let costs = usable.map(|(daemon, record)| (record.cost(), daemon));
@@ -275,6 +283,8 @@
         record.in_flight = record.in_flight.saturating_sub(1);
         record.used = record.used.saturating_sub(1);
         let refusal = match outcome {
+            // Other requests may have room, as those of routes to other services.
+            Some(RelayOutcome::Declined(RelayRefusal::NoRoom)) => return,
             Some(RelayOutcome::Declined(refusal)) => refusal,
             Some(RelayOutcome::Broken) => RelayRefusal::NoAnswer,
             _ => return,
@@ -287,10 +297,22 @@
         }
     }
 
-    /// Asks as many daemons as are missing, the nearest first.
+    /// Records that a helper had no room for a request of `route`.
+    pub(super) fn record_full(&mut self, now: TimePoint, daemon: &DaemonName, route: &RouteName) {
+        if let Some(record) = self.helpers.get_mut(daemon) {
+            let full_for = &mut record.full_for;
+            full_for.retain(|(known, until)| known != route && now < *until);
+            full_for.push((route.clone(), now + FULL_PERIOD));
+        }
+    }
+
+    /// Asks as many daemons as are missing, the nearest first. Helpers without room for some requests are kept
+    /// for the others, and replaced for these.
     fn ask_others(&mut self, now: TimePoint, asked: &mut Vec<DaemonName>) {
         self.refill(now);
-        let missing = HELPERS_WANTED.saturating_sub(self.count(now));
+        let helpers = self.helpers.values();
+        let with_room = helpers.filter(|record| record.is_used(now) && !record.is_full(now));
+        let missing = HELPERS_WANTED.saturating_sub(with_room.count());
         let mut candidates: Vec<(AskRank, DaemonName)> = Vec::new();
         for (daemon, record) in &self.helpers {
             if record.is_used(now) || record.is_refusing(now) {
@@ -347,6 +369,7 @@
             asked_at: None,
             offer: None,
             refusal: None,
+            full_for: SmallVec::new(),
             in_flight: 0,
             used: 0,
         }
@@ -372,6 +395,15 @@
         self.refusal.is_some_and(|(_, until)| now < until)
     }
 
+    fn is_full(&self, now: TimePoint) -> bool {
+        self.full_for.iter().any(|(_, until)| now < *until)
+    }
+
+    fn is_full_for(&self, now: TimePoint, route: &RouteName) -> bool {
+        let mut full_for = self.full_for.iter();
+        full_for.any(|(known, until)| known == route && now < *until)
+    }
+
     /// Expected time that its choice costs, in milliseconds.
     fn cost(&self) -> f64 {
         ROUND_TRIPS_MS[self.distance] + f64::from(self.in_flight) * IN_FLIGHT_COST_MS
--- a/policy/src/forward/link_checks.rs
+++ b/policy/src/forward/link_checks.rs
@@ -80,7 +80,8 @@
             // Replies may still come on open connections if only new ones fail.
             let waits = loss == LinkLoss::Unconnected && request.is_in_flight();
             let (placement, tried) = (&request.placement, &request.helpers_tried);
-            let has_helper = self.helpers.choose(now, placement, tried).is_some();
+            let route = &request.spec().name;
+            let has_helper = self.helpers.choose(now, route, placement, tried).is_some();
             let is_direct = request.relay == RelayState::Direct;
             if is_direct && request.may_be_relayed() && !waits {
                 if has_helper {
--- a/policy/src/forward/relay_dispatch.rs
+++ b/policy/src/forward/relay_dispatch.rs
@@ -134,7 +134,11 @@
                 request.relay_not_run = outcome == RelayOutcome::NotRun;
                 request.relay = RelayState::Ended(ForwardAnswer::Relayed { attempt });
             }
-            RelayOutcome::Declined(_) => {
+            RelayOutcome::Declined(refusal) => {
+                if refusal == RelayRefusal::NoRoom {
+                    let route = &request.spec().name;
+                    self.helpers.record_full(now, &context.helper, route);
+                }
                 request.helpers_tried.push(context.helper);
                 self.send_relay(now, &mut request, actions);
             }
@@ -217,7 +221,8 @@
             return;
         }
         let placement = &request.placement;
-        let Some(helper) = self.helpers.choose(now, placement, &request.helpers_tried) else {
+        let (route, tried) = (&request.spec().name, &request.helpers_tried);
+        let Some(helper) = self.helpers.choose(now, route, placement, tried) else {
             if let Some(to) = self.helpers.ask_at_home(now, placement) {
                 self.ask_helper(now, to, actions);
             }
--- a/policy/tests/forward_stranded.rs
+++ b/policy/tests/forward_stranded.rs
@@ -25,6 +25,7 @@
 };
 use schema::{
     BundleVersion,
+    QueryId,
     RouteSpec,
     RouteTarget, //
 };
@@ -523,3 +524,39 @@
         assert!(lost_at(&simulation, 0).is_some(), "{cut:?}");
     }
 }
+
+/// Guards against a helper that is left alone for a second, for all requests, because the replicas of one service
+/// have no room for a request of another route (review/9).
+#[test]
+fn a_helper_without_room_for_one_route_serves_the_others() {
+    let mut simulation = cluster(3);
+    load(&mut simulation, 60, ms(2_000));
+    simulation.cuts.insert(0, SimulatedCut::Hang);
+    load(&mut simulation, 60, ms(2_000));
+    for zone in ZONES {
+        let model = simulation.models.get_mut(&format!("slow-{zone}"));
+        let model = model.unwrap();
+        (model.service_time, model.queue_limit) = (ms(400), 1_000);
+    }
+    let start = simulation.now;
+    let mut fast = Vec::new();
+    while simulation.now < start + ms(5_000) {
+        for daemon in [1, 2] {
+            simulation.send_request(daemon, SLOW, ms(3_000));
+        }
+        simulation.send_request(0, SLOW, ms(3_000));
+        fast.push(simulation.send_request(0, ONCE, ms(3_000)));
+        simulation.advance(ms(20));
+    }
+    simulation.advance(ms(3_000));
+    let declined = |(daemon, event): &(usize, LoggedEvent)| {
+        let LoggedEvent::RelayEnded { outcome, .. } = event else {
+            return false;
+        };
+        *daemon == 0 && outcome.as_str() == "no_room"
+    };
+    assert!(simulation.logged.iter().any(declined));
+    let served = |query: &&QueryId| simulation.answered_request(**query).is_success();
+    let served = fast.iter().filter(served).count();
+    assert!(served * 10 >= fast.len() * 9, "{served} of {}", fast.len());
+}
