--- a/policy/src/forward/helper_table.rs
+++ b/policy/src/forward/helper_table.rs
@@ -38,7 +38,7 @@
 /// Time after a refusal for which a daemon is not asked again.
 const REFUSED_PERIOD: Duration = Duration::from_secs(1);
 /// Time for which a helper gets no requests of a route after it had no room for one of them.
-const FULL_PERIOD: Duration = Duration::from_millis(250);
+const FULL_PERIOD: Duration = Duration::from_millis(100);
 /// Daemons that are asked in a second at most, beside the helpers.
 const ASKS_PER_SECOND: f64 = 12.0;
 /// Stranded daemons of a data centre after which its others are asked last.
