--- a/policy/src/forward/delegate/delegate_dispatch.rs
+++ b/policy/src/forward/delegate/delegate_dispatch.rs
@@ -10,7 +10,7 @@
 use super::{
     super::{
         pending_request::PendingRequest,
-        relay_dispatch::RelayContext,
+        relay_context::RelayContext,
         relay_terms::BranchTerms,
         request_part::PartState,
         ForwardAction,
--- a/policy/src/forward/forward_engine.rs
+++ b/policy/src/forward/forward_engine.rs
@@ -35,7 +35,7 @@
     helper_table::HelperTable,
     pending_request::PendingRequest,
     reach_monitor::ReachMonitor,
-    relay_dispatch::RelayContext,
+    relay_context::RelayContext,
     relay_intake::RelayIntake,
     replica_record::ExpectedRun,
     route_state::RouteState,
--- a/policy/src/forward/helper_table.rs
+++ b/policy/src/forward/helper_table.rs
@@ -10,7 +10,6 @@
 
 use schema::{
     DaemonName,
-    MemberBuild,
     RegionName,
     RouteName,
     TimePoint,
@@ -20,6 +19,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::{
+    helper_record::HelperRecord,
     RelayOffer,
     RelayOutcome,
     RelayPeer,
@@ -37,47 +37,15 @@
 const HOPE_PERIOD: Duration = Duration::from_millis(500);
 /// Time after a refusal for which a daemon is not asked again.
 const REFUSED_PERIOD: Duration = Duration::from_secs(1);
-/// Time for which a helper gets no requests of a route after it had no room for one of them.
-const FULL_PERIOD: Duration = Duration::from_millis(100);
 /// Daemons that are asked in a second at most, beside the helpers.
 const ASKS_PER_SECOND: f64 = 12.0;
 /// Stranded daemons of a data centre after which its others are asked last.
 const STRANDED_ZONE_MIN: usize = 2;
-/// Cost of a request in flight at a helper, as the time that a nearer one must save.
-const IN_FLIGHT_COST_MS: f64 = 3.0;
-/// Assumed round trips within a data centre, within a region and between regions.
-const ROUND_TRIPS_MS: [f64; 3] = [0.5, 8.0, 24.0];
 
 /// The order in which daemons are asked: those of a data centre that is stranded last, then by distance,
 /// then by hash.
 type AskRank = (bool, usize, u64);
 
-/// What is known of one daemon.
-#[derive(Clone, Debug)]
-struct HelperRecord {
-    zone: ZoneName,
-    /// Region of its data centre; `None` if it is unknown.
-    region: Option<RegionName>,
-    /// What its build understands.
-    build: MemberBuild,
-    /// Distance class: same data centre, same region, another region.
-    distance: usize,
-    /// Spreads the choices of different daemons.
-    hash: u64,
-    /// When it was asked, if the answer is due.
-    asked_at: Option<TimePoint>,
-    /// Requests that it takes beside those that it had, and until when that holds.
-    offer: Option<(u32, TimePoint)>,
-    /// Why it takes none, and until when it is not asked again.
-    refusal: Option<(RelayRefusal, TimePoint)>,
-    /// Routes for whose requests it had no room, and until when it gets none of them.
-    full_for: SmallVec<[(RouteName, TimePoint); 2]>,
-    /// Requests of this daemon that it has.
-    in_flight: u32,
-    /// Requests sent to it since its last offer.
-    used: u32,
-}
-
 /// The other daemons and their offers.
 #[derive(Clone, Debug)]
 pub(super) struct HelperTable {
@@ -300,9 +268,7 @@
     /// Records that a helper had no room for a request of `route`.
     pub(super) fn record_full(&mut self, now: TimePoint, daemon: &DaemonName, route: &RouteName) {
         if let Some(record) = self.helpers.get_mut(daemon) {
-            let full_for = &mut record.full_for;
-            full_for.retain(|(known, until)| known != route && now < *until);
-            full_for.push((route.clone(), now + FULL_PERIOD));
+            record.set_full_for(now, route);
         }
     }
 
@@ -375,37 +341,3 @@
         }
     }
 }
-
-impl HelperRecord {
-    /// Whether it may get a request with the given placement.
-    fn takes(&self, placement: &RequestPlacement) -> bool {
-        placement.allows_member(self.build, self.region.as_ref())
-    }
-
-    /// Whether it offers to take requests, or has been asked.
-    fn is_used(&self, now: TimePoint) -> bool {
-        self.offers(now) || self.asked_at.is_some()
-    }
-
-    fn offers(&self, now: TimePoint) -> bool {
-        self.offer.is_some_and(|(_, until)| now < until)
-    }
-
-    fn is_refusing(&self, now: TimePoint) -> bool {
-        self.refusal.is_some_and(|(_, until)| now < until)
-    }
-
-    fn is_full(&self, now: TimePoint) -> bool {
-        self.full_for.iter().any(|(_, until)| now < *until)
-    }
-
-    fn is_full_for(&self, now: TimePoint, route: &RouteName) -> bool {
-        let mut full_for = self.full_for.iter();
-        full_for.any(|(known, until)| known == route && now < *until)
-    }
-
-    /// Expected time that its choice costs, in milliseconds.
-    fn cost(&self) -> f64 {
-        ROUND_TRIPS_MS[self.distance] + f64::from(self.in_flight) * IN_FLIGHT_COST_MS
-    }
-}
--- a/policy/src/forward/relay_dispatch.rs
+++ b/policy/src/forward/relay_dispatch.rs
@@ -16,6 +16,7 @@
         PendingRequest,
         RelayState, //
     },
+    relay_context::RelayContext,
     request_part::PartState,
     ForwardAction,
     ForwardAnswer,
@@ -49,18 +50,6 @@
 /// Time without any answer of a helper after which the requests that it has count as lost.
 const HELPER_SILENCE_MAX: Duration = Duration::from_secs(1);
 
-/// A request at another daemon.
-#[derive(Clone, Debug)]
-pub(super) struct RelayContext {
-    pub(super) query: QueryId,
-    pub(super) helper: DaemonName,
-    pub(super) sent_at: TimePoint,
-    /// Replicas of one service on which the helper may run it.
-    pub(super) granted: u32,
-    /// Whether this daemon could serve the request itself.
-    pub(super) delegated: bool,
-}
-
 impl ForwardEngine {
     /// Handles the answer of a daemon that was asked how many requests it takes.
     pub(super) fn on_offer(
