--- a/daemon/src/forward/forward_log.rs
+++ b/daemon/src/forward/forward_log.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use policy::{forward::LoggedEvent, rates::RateEvent};
+use policy::{
+    forward::LoggedEvent,
+    rates::RateEvent, //
+};
 use schema::{
     DaemonName,
     ReplicaName,
