--- a/review/standin-3/caller_crowd.rs
+++ b/review/standin-3/caller_crowd.rs
@@ -18,6 +18,7 @@
 
 use crate::{
     daemon_process::{DaemonProcess, MEMORY_MB},
+    http_text::call_once,
     replica_server::ReplicaServer,
     run_record::RunRecord,
     store_server::StoreServer,
@@ -41,6 +42,8 @@
 const CASE_TIME: Duration = Duration::from_secs(60);
 /// Time after which a caller of the crowd gives up.
 const CROWD_PATIENCE: Duration = Duration::from_secs(8);
+/// Time for which a request runs at a replica.
+const WORK_TIME: Duration = Duration::from_millis(20);
 /// Deadline of ordinary callers.
 const ORDINARY_DEADLINE_MS: u64 = 1_500;
 
@@ -52,13 +55,14 @@
     let store = StoreServer::start(&format!("{net}.100"))?;
     let mut replicas = Vec::new();
     for name in ["i-a1", "i-a2", "i-a3"] {
-        replicas.push(ReplicaServer::start(&store, "orders", name, &format!("{net}.101"))?);
+        replicas.push(ReplicaServer::start(&store, "orders", name, "z1", &format!("{net}.101"), WORK_TIME)?);
     }
     store.put("op/config", &config_text());
+    let fleet: Vec<String> = (1..=MACHINES).map(|number| format!("{net}.{number}")).collect();
     let mut machines = Vec::new();
     for number in 1..=MACHINES {
         let ip = format!("{net}.{number}");
-        let daemon = DaemonProcess::start(&ip, store.address)?;
+        let daemon = DaemonProcess::start(&ip, "z1", &fleet, store.address)?;
         machines.push(Machine {
             address: daemon.caller_address,
             ip,
@@ -190,7 +194,7 @@
         let request = format!(
             "GET /u/{number} HTTP/1.1\r\nHost: a.example\r\nRequest-Id: n{number:07}\r\nDeadline-Remaining: {ORDINARY_DEADLINE_MS}\r\nConnection: close\r\n\r\n"
         );
-        let answer = call_once(address, &request).unwrap_or_else(|error| format!("{error:?}"));
+        let answer = call_once(address, &request, ORDINARY_DEADLINE_MS).unwrap_or_else(|error| format!("{error:?}"));
         if answer != "200" {
             record.line(&format!("ordinary request n{number:07}: {answer}"));
         }
@@ -198,17 +202,6 @@
     }
 }
 
-fn call_once(address: SocketAddr, request: &str) -> Result<String, ErrorKind> {
-    let wait = Duration::from_millis(ORDINARY_DEADLINE_MS);
-    let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1));
-    let mut stream = stream.map_err(|error| error.kind())?;
-    stream.set_read_timeout(Some(wait)).map_err(|error| error.kind())?;
-    stream.write_all(request.as_bytes()).map_err(|error| error.kind())?;
-    let mut start = [0; 12];
-    stream.read_exact(&mut start).map_err(|error| error.kind())?;
-    Ok(String::from_utf8_lossy(&start[9..]).into_owned())
-}
-
 /// A connection of the crowd, and how much of its request has been sent.
 struct HeldRequest {
     stream: TcpStream,
--- a/review/standin-3/daemon_process.rs
+++ b/review/standin-3/daemon_process.rs
@@ -22,16 +22,20 @@
 }
 
 impl DaemonProcess {
-    /// Starts the program of the deploy file on `ip`, and waits until it is ready.
-    pub fn start(ip: &str, store: SocketAddr) -> Result<Self, String> {
+    /// Starts the program of the deploy file on `ip` in the zone `zone`, with the first three of `fleet` as its
+    /// seeds, and waits until it is ready.
+    pub fn start(ip: &str, zone: &str, fleet: &[String], store: SocketAddr) -> Result<Self, String> {
         let directory = env::temp_dir().join(format!("review-3-{}-{ip}", std::process::id()));
         fs::create_dir_all(&directory).map_err(|error| error.to_string())?;
         let file = directory.join("boot.json");
+        let name = format!("front-{}", ip.rsplit('.').next().unwrap_or("1"));
+        let seeds = fleet.iter().take(3).map(|ip| format!("\"{ip}:8224\""));
+        let seeds = seeds.collect::<Vec<String>>().join(",");
         let text = format!(
-            r#"{{"node":"front-1","role":"query","machineClass":"front","serves":["front","control"],
-"ip":"{ip}","zone":"z1","region":"r1","zones":{{"z1":"r1"}},
+            r#"{{"node":"{name}","role":"query","machineClass":"front","serves":["front","control"],
+"ip":"{ip}","zone":"{zone}","region":"r1","zones":{{"z1":"r1","z2":"r1"}},
 "listen":{{"front":"{ip}:8226","ready":"{ip}:8227","control":"{ip}:8224"}},
-"internalPortRange":[7740,7755],"seeds":["{ip}:8224"],"bootstrap":true,"lossCounts":false,
+"internalPortRange":[7740,7755],"seeds":[{seeds}],"bootstrap":true,"lossCounts":false,
 "limits":{{"cpuShare":0.25,"cores":1,"memoryMb":{MEMORY_MB},"maxFds":{MAX_FDS},"linkMbps":1000.0,"diskMb":0}},
 "dataDir":null,"discovery":"platform","entry":"vip","beatMs":1200,
 "contracts":["base","drain","config","cost","retry","recover","scatter","platform"],
@@ -53,19 +57,26 @@
         Ok(daemon)
     }
 
-    /// Starts the program again after its end.
+    /// Starts the program again after its end, and waits until it is ready.
     pub fn restart(&mut self) -> Result<(), String> {
-        self.child = spawn(&self.directory.join("boot.json"))?;
+        self.spawn_again()?;
         self.wait_until_ready()
     }
 
+    /// Starts the program again after its end.
+    pub fn spawn_again(&mut self) -> Result<(), String> {
+        self.child = spawn(&self.directory.join("boot.json"))?;
+        Ok(())
+    }
+
     /// Kills the process, if it still runs.
     pub fn end(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
 
-    fn wait_until_ready(&mut self) -> Result<(), String> {
+    /// Waits until the daemon answers that it is ready.
+    pub fn wait_until_ready(&mut self) -> Result<(), String> {
         let end = Instant::now() + Duration::from_secs(10);
         while Instant::now() < end {
             if is_ready(&self.ready_address) {
--- a/review/standin-3/http_text.rs
+++ b/review/standin-3/http_text.rs
@@ -1,6 +1,11 @@
 //! Reads and writes HTTP/1.1 messages on blocking connections.
 
-use std::io::{BufRead, Result};
+use std::{
+    io::{BufRead, ErrorKind, Read, Result, Write},
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpStream},
+    os::fd::FromRawFd,
+    time::Duration,
+};
 
 /// The first line and the headers of a message, names in lower case.
 #[derive(Clone, Debug, Default)]
@@ -68,3 +73,63 @@
     reader.read_exact(&mut body)?;
     Ok(body)
 }
+
+/// An IPv4 address and port, as the system calls take them.
+#[repr(C)]
+struct SocketName {
+    family: u16,
+    port: u16,
+    address: u32,
+    zero: [u8; 8],
+}
+
+impl SocketName {
+    fn new(address: SocketAddrV4) -> Self {
+        Self {
+            family: 2,
+            port: address.port().to_be(),
+            address: u32::from(*address.ip()).to_be(),
+            zero: [0; 8],
+        }
+    }
+}
+
+extern "C" {
+    fn socket(family: i32, kind: i32, protocol: i32) -> i32;
+    fn bind(socket: i32, name: *const SocketName, length: u32) -> i32;
+    fn connect(socket: i32, name: *const SocketName, length: u32) -> i32;
+}
+
+/// Opens a connection from the address `source`. The standard library can't choose the source.
+pub fn connect_from(source: Ipv4Addr, to: SocketAddrV4) -> Result<TcpStream> {
+    let length = std::mem::size_of::<SocketName>() as u32;
+    let (from, to) = (SocketName::new(SocketAddrV4::new(source, 0)), SocketName::new(to));
+    // SAFETY: the names outlive the calls, and the descriptor is owned by the stream from its creation on.
+    unsafe {
+        let descriptor = socket(2, 1, 0);
+        if descriptor < 0 {
+            return Err(std::io::Error::last_os_error());
+        }
+        let stream = TcpStream::from_raw_fd(descriptor);
+        if bind(descriptor, &from, length) < 0 || connect(descriptor, &to, length) < 0 {
+            return Err(std::io::Error::last_os_error());
+        }
+        Ok(stream)
+    }
+}
+
+/// Sends a request on a new connection; returns the status of the answer, or why there is none.
+pub fn call_once(address: SocketAddr, request: &str, deadline_ms: u64) -> std::result::Result<String, ErrorKind> {
+    let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1));
+    call_on(stream.map_err(|error| error.kind())?, request, deadline_ms)
+}
+
+/// Sends a request on a connection; returns the status of the answer, or why there is none.
+pub fn call_on(mut stream: TcpStream, request: &str, deadline_ms: u64) -> std::result::Result<String, ErrorKind> {
+    let wait = Duration::from_millis(deadline_ms);
+    stream.set_read_timeout(Some(wait)).map_err(|error| error.kind())?;
+    stream.write_all(request.as_bytes()).map_err(|error| error.kind())?;
+    let mut start = [0; 12];
+    stream.read_exact(&mut start).map_err(|error| error.kind())?;
+    Ok(String::from_utf8_lossy(&start[9..]).into_owned())
+}
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -4,6 +4,7 @@
 //! if the rule of the case was broken, with 0 if it held, and with 2 if the case could not run.
 
 mod caller_crowd;
+mod crash_loop;
 mod daemon_process;
 mod http_text;
 mod replica_server;
@@ -21,6 +22,7 @@
     let trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = run_record::RunRecord::create(record);
     let result = match case.as_str() {
+        "crash-loop" => crash_loop::run(&record, trouble),
         "body-crowd" => caller_crowd::run(&record, trouble),
         _ => Err(format!("unknown case {case}")),
     };
--- a/review/standin-3/store_server.rs
+++ b/review/standin-3/store_server.rs
@@ -53,6 +53,18 @@
         self.change(key, Some(encode_base64(value.as_bytes())));
     }
 
+    /// Removes an item.
+    pub fn remove(&self, key: &str) {
+        self.change(key, None);
+    }
+
+    /// The values of the items whose keys begin with `prefix`.
+    pub fn values(&self, prefix: &str) -> Vec<String> {
+        let data = self.data.0.lock().unwrap();
+        let items = data.items.iter().filter(|(key, _)| key.starts_with(prefix));
+        items.map(|(_, (_, value))| decode_base64(value)).collect()
+    }
+
     fn change(&self, key: &str, value: Option<String>) {
         let (data, changed) = &*self.data;
         let mut data = data.lock().unwrap();
@@ -192,8 +204,23 @@
     )
 }
 
+const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+
+fn decode_base64(text: &str) -> String {
+    let digits = text.bytes().filter_map(|byte| DIGITS.iter().position(|digit| *digit == byte));
+    let (mut bytes, mut number, mut bits) = (Vec::new(), 0u32, 0);
+    for digit in digits {
+        number = (number << 6 | digit as u32) & 0xffff;
+        bits += 6;
+        if bits >= 8 {
+            bits -= 8;
+            bytes.push((number >> bits) as u8);
+        }
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 fn encode_base64(bytes: &[u8]) -> String {
-    const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for chunk in bytes.chunks(3) {
         let mut group = [0; 3];
