--- a/review/13/run.sh
+++ b/review/15/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 program=review/standin-2/target/release/review-standin-2
 [ -x "$program" ] && [ -x target/release/pollentallyd ] || exit 2
-exec "$program" stale-seeds review/13
+exec "$program" stale-seeds review/15
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 # Builds the stand-ins that the scripts of this review start: those of its own, and those of the second review
-# for case 13. They use the standard library only.
+# for case 15. They use the standard library only.
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
