--- a/review/standin-3/crash_loop.rs
+++ b/review/standin-3/crash_loop.rs
@@ -1,5 +1,5 @@
-//! Case `crash-loop`: the replicas of a service crash six times while callers send them the same harmless
-//! request. Then all daemons are killed. The rule RECOVER is checked after their return.
+//! Case `crash-loop`: the replicas of a service crash while callers send them harmless
+//! requests. Then all daemons are killed. The rule RECOVER is checked after their return.
 
 use std::{
     collections::BTreeMap,
@@ -22,22 +22,16 @@
 };
 
 const DAEMONS: usize = 2;
+/// The service whose replicas crash.
+const CRASHING_SERVICE: &str = "finder-0";
 /// Replicas of each of the two services.
 const REPLICAS: usize = 3;
-/// Time for which a request runs at a replica of the service that crashes, and of the other one.
-const WORK_TIME: Duration = Duration::from_millis(200);
+/// Time for which a request runs at a replica of the service that never crashes.
 const OTHER_WORK_TIME: Duration = Duration::from_millis(30);
-/// Callers of the popular request, and of requests to the other service, and their pause between two requests.
-const CALLERS: usize = 32;
-const OTHER_CALLERS: usize = 5;
-const CALLER_PAUSE: Duration = Duration::from_millis(200);
+/// Pause of callers of that service between two requests.
 const OTHER_PAUSE: Duration = Duration::from_millis(100);
 const DEADLINE_MS: u64 = 3_000;
-/// Time of calm at the start.
-const CALM_TIME: Duration = Duration::from_secs(14);
-/// Number of crashes, the time for which the replicas are down, and the time until the next crash.
-const CRASHES: usize = 6;
-const DOWN_TIME: Duration = Duration::from_secs(5);
+/// Time after a crash until the next one or the final fault.
 const UP_TIME: Duration = Duration::from_secs(5);
 /// Time for which the daemons are down at the end.
 const KILLED_TIME: Duration = Duration::from_millis(600);
@@ -46,6 +40,43 @@
 /// Time for which requests count after that.
 const COUNTED_TIME: Duration = Duration::from_secs(8);
 
+/// The course of a case.
+#[derive(Clone, Copy)]
+pub struct CrashPlan {
+    /// Time of calm at the start.
+    calm_time: Duration,
+    /// Number of crashes, and the time for which the replicas are down.
+    crashes: usize,
+    down_time: Duration,
+    /// Further services which the route asks beside the one that crashes; it is a query over shards if there are any.
+    further_shards: usize,
+    /// Time for which a request runs at a replica of these services.
+    work_time: Duration,
+    /// Callers of that route, side by side, and the pause of each between two requests.
+    callers: usize,
+    caller_pause: Duration,
+    /// Addresses of these callers.
+    hosts: usize,
+    /// Whether they send the same request all the time, or one path with another query each time.
+    sends_same: bool,
+    /// Callers of the other service.
+    other_callers: usize,
+}
+
+/// Many callers, each with an address of its own, send the same request. There are six crashes.
+pub const SAME_REQUEST: CrashPlan = CrashPlan {
+    calm_time: Duration::from_secs(14),
+    crashes: 6,
+    down_time: Duration::from_secs(5),
+    further_shards: 0,
+    work_time: Duration::from_millis(200),
+    callers: 32,
+    caller_pause: Duration::from_millis(200),
+    hosts: 32,
+    sends_same: true,
+    other_callers: 5,
+};
+
 /// What becomes of the requests: by phase and route the answers with their number.
 type AnswerCounts = Arc<Mutex<BTreeMap<(&'static str, &'static str, String), u64>>>;
 
@@ -53,20 +84,25 @@
 const PHASES: [&str; 3] = ["before the final fault", "while it is recovered from", "after recoverS"];
 
 /// Runs the case; returns whether at least a quarter of the requests was served after the recovery.
-pub fn run(record: &RunRecord, trouble: bool) -> Result<bool, String> {
+pub fn run(record: &RunRecord, trouble: bool, plan: CrashPlan) -> Result<bool, String> {
     let net = format!("127.{}.{}", 20 + id() % 200, 1 + id() / 200 % 200);
     let store = StoreServer::start(&format!("{net}.100"))?;
     let zones = ["z1", "z2"];
     let mut crashing = Vec::new();
     let mut others = Vec::new();
+    let mut further = Vec::new();
     for number in 0..REPLICAS {
         let (zone, ip) = (zones[number % 2], format!("{net}.{}", 101 + number));
         let name = format!("i-a{number}");
-        crashing.push(ReplicaServer::start(&store, "receipt-desk", &name, zone, &ip, WORK_TIME)?);
+        crashing.push(ReplicaServer::start(&store, CRASHING_SERVICE, &name, zone, &ip, plan.work_time)?);
+        for shard in 1..=plan.further_shards {
+            let (service, name) = (shard_name(shard), format!("i-s{shard}x{number}"));
+            further.push(ReplicaServer::start(&store, &service, &name, zone, &ip, plan.work_time)?);
+        }
         let name = format!("i-b{number}");
         others.push(ReplicaServer::start(&store, "donor-mailer", &name, zone, &ip, OTHER_WORK_TIME)?);
     }
-    store.put("op/config", &config_text());
+    store.put("op/config", &config_text(10, plan));
     let fleet: Vec<String> = (1..=DAEMONS).map(|number| format!("{net}.{number}")).collect();
     let mut daemons = Vec::new();
     for (number, ip) in fleet.iter().enumerate() {
@@ -85,11 +121,15 @@
         }
     }
     let mut threads = Vec::new();
-    for number in 0..CALLERS + OTHER_CALLERS {
+    for number in 0..plan.callers + plan.other_callers {
+        let of_other = number >= plan.callers;
+        let host = if of_other { number } else { number % plan.hosts };
         let caller = Caller {
             number,
-            is_popular: number < CALLERS,
-            source: format!("{net}.{}", 150 + number).parse().map_err(|_| "bad address")?,
+            of_other,
+            sends_same: plan.sends_same,
+            pause: if of_other { OTHER_PAUSE } else { plan.caller_pause },
+            source: format!("{net}.{}", 150 + host).parse().map_err(|_| "bad address")?,
             addresses: addresses.clone(),
             stop: stop.clone(),
             phase: phase.clone(),
@@ -97,13 +137,13 @@
         };
         threads.push(thread::spawn(move || caller.call()));
     }
-    thread::sleep(CALM_TIME);
-    for number in 1..=CRASHES {
+    thread::sleep(plan.calm_time);
+    for number in 1..=plan.crashes {
         if trouble {
-            record.line(&format!("crash {number} of all replicas of receipt-desk"));
+            record.line(&format!("crash {number} of all replicas of {CRASHING_SERVICE}"));
             ReplicaServer::crash_all(&crashing);
         }
-        thread::sleep(DOWN_TIME);
+        thread::sleep(plan.down_time);
         if trouble {
             for replica in &crashing {
                 replica.start_again()?;
@@ -114,7 +154,8 @@
         thread::sleep(UP_TIME);
         record_counts(record, &counts, 0);
     }
-    record.line("all daemons are killed");
+    store.put("op/config", &config_text(11, plan));
+    record.line("a configuration is acknowledged, and all daemons are killed");
     phase.store(1, Ordering::SeqCst);
     for daemon in &mut daemons {
         daemon.end();
@@ -142,7 +183,10 @@
     }
     let runs: u64 = crashing.iter().map(ReplicaServer::runs).sum();
     let other_runs: u64 = others.iter().map(ReplicaServer::runs).sum();
-    record.line(&format!("requests run: receipt-desk {runs}, donor-mailer {other_runs}"));
+    let further_runs: u64 = further.iter().map(ReplicaServer::runs).sum();
+    record.line(&format!(
+        "requests run: {CRASHING_SERVICE} {runs}, further shards {further_runs}, donor-mailer {other_runs}"
+    ));
     let before = served_share(&counts, 0);
     let after = served_share(&counts, 2);
     record.line(&format!("served: {before:.3} of the requests before the final fault, {after:.3} after recoverS"));
@@ -159,27 +203,44 @@
     }
 }
 
-fn config_text() -> String {
-    let route = |name: &str, prefix: &str, service: &str| {
+fn shard_name(shard: usize) -> String {
+    format!("finder-{shard}")
+}
+
+fn config_text(version: u64, plan: CrashPlan) -> String {
+    let route = |name: &str, prefix: &str, target: &str| {
         format!(
-            r#"{{"name":"{name}","host":"a.example","prefix":"{prefix}","type":"safe","timeoutMs":3000,"targetLatencyMs":300,"priority":1,"maxAttempts":2,"service":"{service}"}}"#
+            r#"{{"name":"{name}","host":"a.example","prefix":"{prefix}","type":"safe","timeoutMs":3000,"targetLatencyMs":300,"priority":1,"maxAttempts":2,{target}}}"#
         )
     };
+    let mut services: Vec<String> = (1..=plan.further_shards).map(shard_name).collect();
+    services.insert(0, CRASHING_SERVICE.to_string());
+    let names: Vec<String> = services.iter().map(|name| format!("\"{name}\"")).collect();
+    let target = match plan.further_shards {
+        0 => format!(r#""service":"{CRASHING_SERVICE}""#),
+        _ => format!(r#""gather":[{}],"topN":20,"minShare":0.89"#, names.join(",")),
+    };
     let routes = [
-        route("receipts", "/receipt/", "receipt-desk"),
-        route("letters", "/letter/", "donor-mailer"),
+        route("searches", "/search/", &target),
+        route("letters", "/letter/", r#""service":"donor-mailer""#),
     ];
-    let routes = routes.join(",");
+    services.push("donor-mailer".to_string());
+    let service = |name: &String| format!(r#"{{"name":"{name}","healthPath":"/health","maxConns":110}}"#);
+    let services: Vec<String> = services.iter().map(service).collect();
+    let (routes, services) = (routes.join(","), services.join(","));
     format!(
-        r#"{{"version":10,"routes":[{routes}],"services":[{{"name":"receipt-desk","healthPath":"/health","maxConns":110}},{{"name":"donor-mailer","healthPath":"/health","maxConns":110}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#
+        r#"{{"version":{version},"routes":[{routes}],"services":[{services}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#
     )
 }
 
 /// A caller that sends one request after the other, each to the next daemon.
 struct Caller {
     number: usize,
-    /// Whether it sends the popular request.
-    is_popular: bool,
+    /// Whether it sends to the service that does not crash.
+    of_other: bool,
+    sends_same: bool,
+    /// Time between two requests.
+    pause: Duration,
     /// Its address.
     source: Ipv4Addr,
     addresses: Vec<SocketAddrV4>,
@@ -190,18 +251,19 @@
 
 impl Caller {
     fn call(&self) {
-        let (route, pause) = match self.is_popular {
-            true => ("receipts", CALLER_PAUSE),
-            false => ("letters", OTHER_PAUSE),
+        let route = match self.of_other {
+            false => "searches",
+            true => "letters",
         };
         for count in 0.. {
             if self.stop.load(Ordering::SeqCst) {
                 return;
             }
-            thread::sleep(pause);
-            let target = match self.is_popular {
-                true => "/receipt/plank-4711".to_string(),
-                false => format!("/letter/{}-{count}", self.number),
+            thread::sleep(self.pause);
+            let target = match (self.of_other, self.sends_same) {
+                (true, _) => format!("/letter/{}-{count}", self.number),
+                (false, true) => "/search/plank-4711".to_string(),
+                (false, false) => format!("/search/planks?name={}-{count}", self.number),
             };
             let request = format!(
                 "GET {target} HTTP/1.1\r\nHost: a.example\r\nRequest-Id: q{}x{count}\r\nDeadline-Remaining: {DEADLINE_MS}\r\nConnection: close\r\n\r\n",
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -22,7 +22,7 @@
     let trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = run_record::RunRecord::create(record);
     let result = match case.as_str() {
-        "crash-loop" => crash_loop::run(&record, trouble),
+        "crash-loop" => crash_loop::run(&record, trouble, crash_loop::SAME_REQUEST),
         "body-crowd" => caller_crowd::run(&record, trouble),
         _ => Err(format!("unknown case {case}")),
     };
