--- a/review/standin-3/crash_loop.rs
+++ b/review/standin-3/crash_loop.rs
@@ -1,4 +1,4 @@
-//! Case `crash-loop`: the replicas of a service crash while callers send them harmless
+//! Cases `crash-loop` and `crash-forms`: the replicas of a service crash while callers send them harmless
 //! requests. Then all daemons are killed. The rule RECOVER is checked after their return.
 
 use std::{
@@ -77,6 +77,20 @@
     other_callers: 5,
 };
 
+/// A host sends queries over ten shards to one path, each with another query string. One shard crashes once.
+pub const MANY_FORMS: CrashPlan = CrashPlan {
+    calm_time: Duration::from_secs(20),
+    crashes: 1,
+    down_time: Duration::from_millis(4_500),
+    further_shards: 9,
+    work_time: Duration::from_millis(50),
+    callers: 16,
+    caller_pause: Duration::from_millis(30),
+    hosts: 1,
+    sends_same: false,
+    other_callers: 2,
+};
+
 /// What becomes of the requests: by phase and route the answers with their number.
 type AnswerCounts = Arc<Mutex<BTreeMap<(&'static str, &'static str, String), u64>>>;
 
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -23,6 +23,7 @@
     let record = run_record::RunRecord::create(record);
     let result = match case.as_str() {
         "crash-loop" => crash_loop::run(&record, trouble, crash_loop::SAME_REQUEST),
+        "crash-forms" => crash_loop::run(&record, trouble, crash_loop::MANY_FORMS),
         "body-crowd" => caller_crowd::run(&record, trouble),
         _ => Err(format!("unknown case {case}")),
     };
