--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -6,6 +6,7 @@
 mod caller_crowd;
 mod crash_loop;
 mod daemon_process;
+mod deadly_query;
 mod http_text;
 mod replica_server;
 mod store_server;
@@ -24,6 +25,7 @@
     let result = match case.as_str() {
         "crash-loop" => crash_loop::run(&record, trouble, crash_loop::SAME_REQUEST),
         "crash-forms" => crash_loop::run(&record, trouble, crash_loop::MANY_FORMS),
+        "deadly-query" => deadly_query::run(&record, trouble),
         "body-crowd" => caller_crowd::run(&record, trouble),
         _ => Err(format!("unknown case {case}")),
     };
--- a/review/standin-3/replica_server.rs
+++ b/review/standin-3/replica_server.rs
@@ -8,7 +8,7 @@
         Arc, Mutex,
     },
     thread,
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use crate::{
@@ -21,6 +21,10 @@
 /// Interval at which a replica writes its registration (`beatMs`), and the silence after which it lapses.
 const BEAT_INTERVAL: Duration = Duration::from_millis(1_200);
 const LAPSE_TIME: Duration = Duration::from_millis(3_600);
+/// A replica that begins to run a request whose target contains this text crashes.
+pub const DEADLY_TEXT: &str = "deadly";
+/// Time after which such a replica is back.
+const DEADLY_DOWN_TIME: Duration = Duration::from_secs(3);
 /// Pause between two looks for new connections.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(2);
 
@@ -42,6 +46,8 @@
     /// Number of starts. What belongs to an earlier one ends.
     start: AtomicU64,
     runs: AtomicU64,
+    /// Time and id of each request that crashed the replica.
+    deadly_runs: Mutex<Vec<(Instant, String)>>,
     connections: Mutex<Vec<TcpStream>>,
 }
 
@@ -74,6 +80,11 @@
         self.state.runs.load(Ordering::Relaxed)
     }
 
+    /// Time and id of each request that crashed the replica.
+    pub fn deadly_runs(&self) -> Vec<(Instant, String)> {
+        self.state.deadly_runs.lock().unwrap().clone()
+    }
+
     /// Ends replicas at the same moment as a crash does: their ports are closed, then their connections. Their
     /// registrations lapse.
     pub fn crash_all(replicas: &[Self]) {
@@ -168,6 +179,14 @@
                 _ if head.header("expect-instance") != self.name => format!(
                     "HTTP/1.1 421 Misdirected\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
                 ),
+                target if target.contains(DEADLY_TEXT) => {
+                    let run = (Instant::now(), id.to_string());
+                    self.state.deadly_runs.lock().unwrap().push(run);
+                    Self::crash_all(std::slice::from_ref(self));
+                    thread::sleep(DEADLY_DOWN_TIME);
+                    let _ = self.start_again();
+                    return;
+                }
                 _ => {
                     let run = self.state.runs.fetch_add(1, Ordering::Relaxed);
                     thread::sleep(self.work_time);
