--- a/review/standin-3/daemon_process.rs
+++ b/review/standin-3/daemon_process.rs
@@ -13,6 +13,14 @@
 pub const MEMORY_MB: u64 = 260;
 pub const MAX_FDS: u32 = 4_100;
 
+/// Signals: the settings file has changed, and the process is to end.
+const SIGHUP: i32 = 1;
+const SIGTERM: i32 = 15;
+
+extern "C" {
+    fn kill(process: i32, signal: i32) -> i32;
+}
+
 /// A running daemon, which is killed when it is dropped.
 pub struct DaemonProcess {
     pub child: Child,
@@ -25,27 +33,25 @@
     /// Starts the program of the deploy file on `ip` in the zone `zone`, with the first three of `fleet` as its
     /// seeds, and waits until it is ready.
     pub fn start(ip: &str, zone: &str, fleet: &[String], store: SocketAddr) -> Result<Self, String> {
+        Self::start_as(true, ip, zone, fleet, store)
+    }
+
+    /// Starts the program on a machine that is added to a running system, in the same way.
+    pub fn start_added(ip: &str, zone: &str, fleet: &[String], store: SocketAddr) -> Result<Self, String> {
+        Self::start_as(false, ip, zone, fleet, store)
+    }
+
+    fn start_as(
+        bootstrap: bool,
+        ip: &str,
+        zone: &str,
+        fleet: &[String],
+        store: SocketAddr,
+    ) -> Result<Self, String> {
         let directory = env::temp_dir().join(format!("review-3-{}-{ip}", std::process::id()));
         fs::create_dir_all(&directory).map_err(|error| error.to_string())?;
         let file = directory.join("boot.json");
-        let name = format!("front-{}", ip.rsplit('.').next().unwrap_or("1"));
-        let seeds = fleet.iter().take(3).map(|ip| format!("\"{ip}:8224\""));
-        let seeds = seeds.collect::<Vec<String>>().join(",");
-        let text = format!(
-            r#"{{"node":"{name}","role":"query","machineClass":"front","serves":["front","control"],
-"ip":"{ip}","zone":"{zone}","region":"r1","zones":{{"z1":"r1","z2":"r1"}},
-"listen":{{"front":"{ip}:8226","ready":"{ip}:8227","control":"{ip}:8224"}},
-"internalPortRange":[7740,7755],"seeds":[{seeds}],"bootstrap":true,"lossCounts":false,
-"limits":{{"cpuShare":0.25,"cores":1,"memoryMb":{MEMORY_MB},"maxFds":{MAX_FDS},"linkMbps":1000.0,"diskMb":0}},
-"dataDir":null,"discovery":"platform","entry":"vip","beatMs":1200,
-"contracts":["base","drain","config","cost","retry","recover","scatter","platform"],
-"tolerate":{{"machines":1,"zones":0,"regions":0}},
-"bounds":{{"seedLagS":3,"reuseAfterS":2,"settleWindowMs":5000,"ackMs":6000,"catchUpS":4,"drainMs":3000,
-"graceS":6,"lossSlackMs":200,"configApplyMs":3000,"downgradeMs":250,"skewMaxMs":15000,
-"retryBudgetRatio":0.2,"budgetWindowS":10,"retryBudgetSlack":56,"recoverS":12}},
-"platform":{{"address":"{store}","form":"kv","writesPerS":400,"readsPerS":2000,"historyS":20,"valueBytes":1048576,"ttlMinMs":1000}}}}"#
-        );
-        fs::write(&file, text).map_err(|error| error.to_string())?;
+        fs::write(&file, settings_text(bootstrap, ip, zone, fleet, store)).map_err(|error| error.to_string())?;
         let caller_address = format!("{ip}:8226").parse().map_err(|_| "bad address")?;
         let mut daemon = Self {
             child: spawn(&file)?,
@@ -57,6 +63,29 @@
         Ok(daemon)
     }
 
+    /// Replaces the settings file by one with other seeds, and tells the process by SIGHUP.
+    pub fn change_seeds(&self, ip: &str, zone: &str, fleet: &[String], store: SocketAddr) -> Result<(), String> {
+        let file = self.directory.join("boot.json");
+        fs::write(file, settings_text(false, ip, zone, fleet, store)).map_err(|error| error.to_string())?;
+        self.signal(SIGHUP)
+    }
+
+    /// Ends the process by SIGTERM.
+    pub fn stop(&mut self) -> Result<(), String> {
+        self.signal(SIGTERM)?;
+        self.child.wait().map_err(|error| error.to_string())?;
+        Ok(())
+    }
+
+    fn signal(&self, number: i32) -> Result<(), String> {
+        let process = i32::try_from(self.child.id()).map_err(|error| error.to_string())?;
+        // SAFETY: the call takes two numbers; the process is a child that has not been waited for.
+        match unsafe { kill(process, number) } {
+            0 => Ok(()),
+            _ => Err(std::io::Error::last_os_error().to_string()),
+        }
+    }
+
     /// Starts the program again after its end, and waits until it is ready.
     pub fn restart(&mut self) -> Result<(), String> {
         self.spawn_again()?;
@@ -100,6 +129,27 @@
     }
 }
 
+/// The settings of a machine of the small deployments, with the first three of `fleet` as its seeds.
+fn settings_text(bootstrap: bool, ip: &str, zone: &str, fleet: &[String], store: SocketAddr) -> String {
+    let name = format!("front-{}", ip.rsplit('.').next().unwrap_or("1"));
+    let seeds = fleet.iter().take(3).map(|ip| format!("\"{ip}:8224\""));
+    let seeds = seeds.collect::<Vec<String>>().join(",");
+    format!(
+        r#"{{"node":"{name}","role":"query","machineClass":"front","serves":["front","control"],
+"ip":"{ip}","zone":"{zone}","region":"r1","zones":{{"z1":"r1","z2":"r1"}},
+"listen":{{"front":"{ip}:8226","ready":"{ip}:8227","control":"{ip}:8224"}},
+"internalPortRange":[7740,7755],"seeds":[{seeds}],"bootstrap":{bootstrap},"lossCounts":false,
+"limits":{{"cpuShare":0.25,"cores":1,"memoryMb":{MEMORY_MB},"maxFds":{MAX_FDS},"linkMbps":1000.0,"diskMb":0}},
+"dataDir":null,"discovery":"platform","entry":"vip","beatMs":1200,
+"contracts":["base","drain","config","cost","retry","recover","scatter","platform"],
+"tolerate":{{"machines":1,"zones":0,"regions":0}},
+"bounds":{{"seedLagS":3,"reuseAfterS":2,"settleWindowMs":5000,"ackMs":6000,"catchUpS":4,"drainMs":3000,
+"graceS":6,"lossSlackMs":200,"configApplyMs":3000,"downgradeMs":250,"skewMaxMs":15000,
+"retryBudgetRatio":0.2,"budgetWindowS":10,"retryBudgetSlack":56,"recoverS":12}},
+"platform":{{"address":"{store}","form":"kv","writesPerS":400,"readsPerS":2000,"historyS":20,"valueBytes":1048576,"ttlMinMs":1000}}}}"#
+    )
+}
+
 fn spawn(file: &Path) -> Result<Child, String> {
     Command::new("target/release/pollentallyd")
         .arg("--platform")
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -8,6 +8,7 @@
 mod daemon_process;
 mod deadly_query;
 mod http_text;
+mod limit_share;
 mod replica_server;
 mod store_server;
 mod run_record;
@@ -25,6 +26,7 @@
     let result = match case.as_str() {
         "crash-loop" => crash_loop::run(&record, trouble, crash_loop::SAME_REQUEST),
         "crash-forms" => crash_loop::run(&record, trouble, crash_loop::MANY_FORMS),
+        "limit-share" => limit_share::run(&record, trouble),
         "deadly-query" => deadly_query::run(&record, trouble),
         "body-crowd" => caller_crowd::run(&record, trouble),
         _ => Err(format!("unknown case {case}")),
--- a/review/standin-3/replica_server.rs
+++ b/review/standin-3/replica_server.rs
@@ -46,8 +46,12 @@
     /// Number of starts. What belongs to an earlier one ends.
     start: AtomicU64,
     runs: AtomicU64,
+    /// The requests a second that it names as its limit; 0 if it names none.
+    limit: AtomicU64,
     /// Time and id of each request that crashed the replica.
     deadly_runs: Mutex<Vec<(Instant, String)>>,
+    /// When requests arrived while it named a limit.
+    limited_arrivals: Mutex<Vec<Instant>>,
     connections: Mutex<Vec<TcpStream>>,
 }
 
@@ -85,6 +89,18 @@
         self.state.deadly_runs.lock().unwrap().clone()
     }
 
+    /// Names a limit (`Server-Limit`) in all answers from now on.
+    pub fn name_limit(&self, per_second: u64) {
+        self.state.limit.store(per_second, Ordering::SeqCst);
+    }
+
+    /// When the requests arrived that came while it named a limit, in order.
+    pub fn limited_arrivals(&self) -> Vec<Instant> {
+        let mut arrivals = self.state.limited_arrivals.lock().unwrap().clone();
+        arrivals.sort();
+        arrivals
+    }
+
     /// Ends replicas at the same moment as a crash does: their ports are closed, then their connections. Their
     /// registrations lapse.
     pub fn crash_all(replicas: &[Self]) {
@@ -174,10 +190,14 @@
                 return;
             }
             let id = head.header("request-id");
+            let limit = match self.state.limit.load(Ordering::SeqCst) {
+                0 => String::new(),
+                per_second => format!("Server-Limit: {per_second}\r\n"),
+            };
             let answer = match head.second_word() {
-                "/health" => format!("HTTP/1.1 200 OK\r\nInstance-Id: {}\r\nContent-Length: 0\r\n\r\n", self.name),
+                "/health" => format!("HTTP/1.1 200 OK\r\nInstance-Id: {}\r\n{limit}Content-Length: 0\r\n\r\n", self.name),
                 _ if head.header("expect-instance") != self.name => format!(
-                    "HTTP/1.1 421 Misdirected\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+                    "HTTP/1.1 421 Misdirected\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\n{limit}Content-Length: 0\r\n\r\n"
                 ),
                 target if target.contains(DEADLY_TEXT) => {
                     let run = (Instant::now(), id.to_string());
@@ -188,10 +208,13 @@
                     return;
                 }
                 _ => {
+                    if !limit.is_empty() {
+                        self.state.limited_arrivals.lock().unwrap().push(Instant::now());
+                    }
                     let run = self.state.runs.fetch_add(1, Ordering::Relaxed);
                     thread::sleep(self.work_time);
                     format!(
-                        "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: {}.{run}\r\nContent-Length: {}\r\n\r\n{ANSWER_BODY}",
+                        "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: {}.{run}\r\n{limit}Content-Length: {}\r\n\r\n{ANSWER_BODY}",
                         self.name,
                         ANSWER_BODY.len(),
                     )
