Count the crashes under each form of a request by themselves

Cause: crashes were counted by path, body and caller, whatever the form (method, host, query). Three successes under any other forms took back one crash, so that some 66 harmless requests a second erased what the deadly form had earned within a tenth of a second, though none of them said anything of that form. The count for one form over all callers did not help, since there only crashes under two callers count.

Change: a third fingerprint contains the caller and the form. Its crashes are taken back by successes of this form only. The fingerprint of the path now counts a crash only if replicas crashed under another form too, as that of the content does for callers: it answers whether crashes go beyond one form, and a form that is known by itself takes nothing from others. Notices keep their layout: in a tally of the new fingerprint the form is 0, since the fingerprint contains it.

--- a/policy/examples/crash_cost.rs
+++ b/policy/examples/crash_cost.rs
@@ -87,6 +87,7 @@
     let cost = measure(CALLS, |_| {
         let keys = [
             identity.caller_key(&service),
+            identity.form_key(&service),
             identity.content_key(&service),
         ];
         for key in keys {
--- a/policy/src/forward/crash_evidence.rs
+++ b/policy/src/forward/crash_evidence.rs
@@ -301,6 +301,7 @@
             let identity = &attempt.identity;
             let keys = [
                 (identity.caller_key(service), 0),
+                (identity.form_key(service), 0),
                 (identity.content_key(service), identity.caller),
             ];
             for (key, caller) in keys {
@@ -346,10 +347,14 @@
         }
     }
 
-    pub(super) fn part_keys(&self, request: &PendingRequest, index: usize) -> [CrashKey; 2] {
+    pub(super) fn part_keys(&self, request: &PendingRequest, index: usize) -> [CrashKey; 3] {
         let service = &self.registry.services[request.parts[index].service].name;
         let identity = &request.identity;
-        [identity.caller_key(service), identity.content_key(service)]
+        [
+            identity.caller_key(service),
+            identity.form_key(service),
+            identity.content_key(service),
+        ]
     }
 
     fn refusal_event(
--- a/policy/src/forward/crash_record.rs
+++ b/policy/src/forward/crash_record.rs
@@ -101,6 +101,12 @@
         }
     }
 
+    /// Whether the fingerprint stands for a path of a caller in whatever form. The crashes under each form count
+    /// by themselves too.
+    pub(super) fn is_of_path(&self) -> bool {
+        self.notice.caller == 0 && self.sites.tells_forms()
+    }
+
     /// Decides when the request becomes refused because of the replicas that have ended: at once if one more
     /// has ended in a run that began when those of a rack would all have ended, or else if it does not
     /// succeed in time.
@@ -114,7 +120,8 @@
             self.report_at = self.report_at.min(now);
         }
         let of_one_caller = self.notice.caller != 0 && self.callers.len() < 2;
-        if self.has_enough_crashes() || of_one_caller {
+        let of_one_form = self.is_of_path() && !self.sites.has_several_forms();
+        if self.has_enough_crashes() || of_one_caller || of_one_form {
             return;
         }
         if sent_at >= self.third_end_at + BURST_PERIOD {
--- a/policy/src/forward/crash_sites.rs
+++ b/policy/src/forward/crash_sites.rs
@@ -58,19 +58,38 @@
         let Some(first) = crashed.first() else {
             return false;
         };
-        let several_variants = crashed.iter().any(|tally| {
-            let variant = tally.site.variant;
-            variant == 0 || variant != first.site.variant
-        });
         let several_services = crashed.iter().any(|tally| {
             let service = tally.site.service;
             service == 0 || service != first.site.service
         });
-        let covers_variant = several_variants || first.site.variant == site.variant;
+        let covers_variant =
+            self.has_several_forms() || [0, site.variant].contains(&first.site.variant);
         let covers_service = several_services || first.site.service == site.service;
         covers_variant && covers_service && !self.is_cleared(site)
     }
 
+    /// Whether replicas crashed under more than one form of the request.
+    pub(super) fn has_several_forms(&self) -> bool {
+        let mut crashed = self.tallies.iter().filter(|tally| tally.evidence() > 0);
+        let Some(first) = crashed.next() else {
+            return false;
+        };
+        let variant = first.site.variant;
+        let stands_for_several = variant == 0 && self.tells_forms();
+        stands_for_several || crashed.any(|tally| tally.site.variant != variant)
+    }
+
+    /// Whether the tallies tell forms from each other, since the fingerprint does not contain the form.
+    pub(super) fn tells_forms(&self) -> bool {
+        self.tallies.iter().any(|tally| tally.site.variant != 0)
+    }
+
+    /// Whether replicas crashed under the form `variant` only.
+    pub(super) fn has_only_form(&self, variant: u32) -> bool {
+        let mut crashed = self.tallies.iter().filter(|tally| tally.evidence() > 0);
+        crashed.all(|tally| tally.site.variant == variant)
+    }
+
     /// Adds a crash at `site`, if the request was sent there after the previous one at the site was
     /// seen. It need not count for the request: several sites may share one crash.
     pub(super) fn record_crash(&mut self, site: CrashSite, crash: &SeenCrash<'_>) {
--- a/policy/src/forward/crash_table.rs
+++ b/policy/src/forward/crash_table.rs
@@ -1,8 +1,8 @@
 //! Refusal of requests that crash the replicas on which they run.
 //!
-//! Crashes are counted by fingerprint of the request: once with the caller, in whatever form the
-//! caller sends it, and once in exactly one form for all callers together. They count over all
-//! services, because the route of a request may lead to another one. [`CrashSites`] tells to which
+//! Crashes are counted by fingerprint of the request: once with the caller, in exactly one form, once
+//! with the caller, in whatever form the caller sends it, and once in exactly one form for all callers
+//! together. They count over all services, because the route of a request may lead to another one. [`CrashSites`] tells to which
 //! forms and services a refusal applies. A crash counts if the request was sent to the replica after the
 //! previous crash that counted was seen. Crashes that are seen together, such as those of a rack or
 //! of several shards of one query, may have one cause and count as one. The crash that makes a
@@ -12,6 +12,10 @@
 //! Besides, the replicas that have ended are counted one by one: from the third on the request is refused
 //! as well unless it succeeds soon. `crash_trials` has what may be sent after a refusal.
 //!
+//! For all forms together, a crash counts only if a replica crashed under another form before. So a
+//! form that crashes its replicas is known from itself alone, at whatever rate its caller sends harmless
+//! ones, and takes nothing from them.
+//!
 //! For all callers together, a crash counts only if another caller's request crashed a replica
 //! before. A caller whose request crashes replicas therefore takes nothing from harmless requests
 //! with the same content, but that a query over shards goes to one replica first.
@@ -187,7 +191,8 @@
         record.add_caller(crash.caller);
         let known = record.notice.evidence();
         let same_caller = crash.caller != 0 && crash.caller == record.notice.caller;
-        if same_caller && known > 0 && !record.has_enough_crashes() {
+        let same_form = record.is_of_path() && record.sites.has_only_form(key.site.variant);
+        if (same_caller || same_form) && known > 0 && !record.has_enough_crashes() {
             record.sites.record_crash(key.site, crash);
             record.notice.tallies = record.sites.tallies.clone();
             self.watch_ended(now, print, crash.sent_at);
--- a/policy/src/forward/request_identity.rs
+++ b/policy/src/forward/request_identity.rs
@@ -53,13 +53,21 @@
     /// By what a crash of a replica of `service` is counted against this request of this caller, in
     /// whatever form the caller sends it.
     pub fn caller_key(&self, service: &ServiceName) -> CrashKey {
-        self.key(&self.caller.to_le_bytes(), service)
+        self.key(&self.caller.to_le_bytes(), self.variant, service)
+    }
+
+    /// The same for the request in exactly this form. Other forms may be harmless, and say nothing of it.
+    pub fn form_key(&self, service: &ServiceName) -> CrashKey {
+        let mut suffix = [0; 12];
+        suffix[..8].copy_from_slice(&self.caller.to_le_bytes());
+        suffix[8..].copy_from_slice(&self.variant.to_le_bytes());
+        self.key(&suffix, 0, service)
     }
 
     /// The same for the request in exactly this form, whichever caller sends it. Other callers may
     /// send harmless requests with the same path, so their forms are kept apart.
     pub fn content_key(&self, service: &ServiceName) -> CrashKey {
-        self.key(&self.variant.to_le_bytes(), service)
+        self.key(&self.variant.to_le_bytes(), self.variant, service)
     }
 
     /// The fingerprint of this request of this caller.
@@ -67,11 +75,11 @@
         self.print(&self.caller.to_le_bytes())
     }
 
-    fn key(&self, suffix: &[u8], service: &ServiceName) -> CrashKey {
+    fn key(&self, suffix: &[u8], variant: u32, service: &ServiceName) -> CrashKey {
         CrashKey {
             print: self.print(suffix),
             site: CrashSite {
-                variant: self.variant,
+                variant,
                 service: site_hash(xxh3_64(service.as_str().as_bytes())),
             },
         }
--- a/policy/src/forward/trial_dispatch.rs
+++ b/policy/src/forward/trial_dispatch.rs
@@ -267,7 +267,7 @@
         index: usize,
     ) -> Option<CrashRefusal> {
         let trial = request.trial.as_ref();
-        let keys: [CrashKey; 2] = self.part_keys(request, index);
+        let keys = self.part_keys(request, index);
         keys.iter().find_map(|key| {
             let trial = trial.filter(|trial| trial.prints.contains(&key.print));
             self.crashes
--- a/policy/tests/forward_crash_notices.rs
+++ b/policy/tests/forward_crash_notices.rs
@@ -23,7 +23,7 @@
 const KEY: CrashKey = CrashKey {
     print: QueryPrint(1),
     site: CrashSite {
-        variant: 1,
+        variant: 0,
         service: 1,
     },
 };
--- a/policy/tests/forward_crash_sites.rs
+++ b/policy/tests/forward_crash_sites.rs
@@ -26,6 +26,11 @@
     RequestIdentity,
     SeenCrash, //
 };
+use rand::{
+    Rng,
+    SeedableRng, //
+};
+use rand_pcg::Pcg64Mcg;
 use schema::{
     CrashNotice,
     RouteTarget,
@@ -249,6 +254,48 @@
     }
 }
 
+/// Guards against a request that crashes its replicas and is never recognised, because harmless requests of its
+/// host to the same path, each with another query, succeed between its retries.
+#[test]
+fn a_form_that_crashes_is_known_at_any_rate_of_harmless_forms() {
+    for seed in 0..24 {
+        let mut random = Pcg64Mcg::seed_from_u64(seed);
+        let daemons = random.random_range(1..=6);
+        let mut bench = CrashBench::new(daemons, single(), 40);
+        let mut count = RetryCount::default();
+        let pause = random.random_range(300..=4_000);
+        let harmless = random.random_range(1..=40);
+        let (mut served, mut sent) = (0, 0);
+        for retry in 0..60 {
+            if random.random_range(0..20) == 0 {
+                let daemon = random.random_range(0..daemons);
+                bench.replace_daemon(daemon, single(), 40);
+            }
+            bench.without_store = match random.random_range(0..4) {
+                0 => (0..daemons).collect(),
+                _ => Vec::new(),
+            };
+            count.retry(
+                &mut bench,
+                retry % daemons,
+                form("GET", "h", "/p?name=deadly"),
+            );
+            for number in 0..harmless {
+                let target = format!("/p?name={retry}-{number}");
+                let daemon = random.random_range(0..daemons);
+                let query = bench.arrive(daemon, form("GET", "h", &target));
+                bench.serve(query);
+                sent += 1;
+                served += usize::from(bench.is_served(query));
+                bench.advance(ms(pause / harmless));
+            }
+        }
+        let case = format!("seed {seed}, {daemons} daemons, {harmless} each {pause} ms");
+        assert!(count.late_retries <= LATE_RETRIES_MAX, "{case}: {count:?}");
+        assert_eq!(served, sent, "{case}");
+    }
+}
+
 /// Guards against the refusal of a whole query over shards that crashes the replicas of one shard
 /// only, where the route allows an answer without it.
 #[test]
@@ -352,7 +399,7 @@
             broke_at: now,
             caller: 0,
         };
-        let key = identity(path, 1).caller_key(&service);
+        let key = identity(path, 1).form_key(&service);
         table.record_crash(now, key, &crash);
         key
     };
--- a/policy/tests/forward_crashes.rs
+++ b/policy/tests/forward_crashes.rs
@@ -257,12 +257,12 @@
     QueryPrint::from_halves(number, number)
 }
 
-/// The request with number `number`, in one form at one service.
+/// The request with number `number` at one service; its fingerprint contains its form.
 fn key(number: u64) -> CrashKey {
     CrashKey {
         print: print(number),
         site: CrashSite {
-            variant: 1,
+            variant: 0,
             service: 1,
         },
     }
--- a/schema/src/crash_tally.rs
+++ b/schema/src/crash_tally.rs
@@ -7,7 +7,8 @@
 /// One form of a request at one service. Callers may vary the form of a request that they send again.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct CrashSite {
-    /// Hash of the parts of the request that its fingerprint leaves out. 0 stands for several forms.
+    /// Hash of the parts of the request that its fingerprint leaves out. 0 if the fingerprint contains them;
+    /// among other forms, 0 stands for several.
     pub variant: u32,
     /// Hash of the service's name. 0 stands for several services.
     pub service: u32,
