Don't refuse the forms of a path for replicas that ended together

Cause, four errors in what is counted for all forms of a path: - three replicas that end under N forms in flight were taken as evidence against the path, though they have one cause, and as there was more than one form, every form was refused; - successes were counted at 64 sites only; a query over ten shards has ten, so from the seventh query on none took anything back; - the tally for several sites added up what it merged, and no success at a service took it back; - a denied trial for one shard refused the whole query. Besides, each send of a harmless form took one of the three trials, and a refusal without trials was extended by each arrival.

Change: the count for all forms of a path takes replicas that end together as one crash and never condemns by their number. Its crashes are taken back one by one by successes under further forms, at any tally of the service or of several; a full list of sites drops the oldest. It makes other forms suspect from the second crash on. A refusal of a path is tried after two seconds, sends count against its trials only if they crash a replica, and it is forgotten ten minutes after the last crash. A query whose claim is denied leaves out the shards concerned within the route's minimum share. E7014 and E7017 say by `scope` which count has decided.

--- a/daemon/src/forward/forward_log.rs
+++ b/daemon/src/forward/forward_log.rs
@@ -159,13 +159,15 @@
                 service,
                 replica,
                 print,
+                scope,
                 crashes,
                 refused_for,
             } => {
                 log_event!(
                     logger, events::CRASH_COUNTED,
                     "request" => id, "query" => query.0, "service" => %service,
-                    "replica" => %replica, "print" => %print, "crashes" => *crashes,
+                    "replica" => %replica, "print" => %print, "scope" => scope.as_str(),
+                    "crashes" => *crashes,
                 );
                 if let Some(period) = refused_for {
                     log_event!(
@@ -224,13 +226,14 @@
                 query,
                 service,
                 print,
+                scope,
                 crashes,
                 replicas,
                 until,
             } => log_event!(
                 logger, events::REQUEST_STOPPED,
                 "request" => id, "query" => query.0, "service" => %service, "print" => %print,
-                "crashes" => *crashes, "replicas" => names(replicas),
+                "scope" => scope.as_str(), "crashes" => *crashes, "replicas" => names(replicas),
                 "retry_after_ms" => millis(until.since(now)),
             ),
             LoggedEvent::LimitChanged {
--- a/policy/src/forward/crash_evidence.rs
+++ b/policy/src/forward/crash_evidence.rs
@@ -17,6 +17,7 @@
     trial_dispatch::fail_unawaited,
     CrashKey,
     CrashRefusal,
+    CrashScope,
     ForwardAction,
     ForwardAnswer,
     ForwardEngine,
@@ -300,11 +301,15 @@
         for attempt in broken {
             let identity = &attempt.identity;
             let keys = [
-                (identity.caller_key(service), 0),
-                (identity.form_key(service), 0),
-                (identity.content_key(service), identity.caller),
+                (identity.caller_key(service), 0, CrashScope::Path),
+                (identity.form_key(service), 0, CrashScope::Form),
+                (
+                    identity.content_key(service),
+                    identity.caller,
+                    CrashScope::Content,
+                ),
             ];
-            for (key, caller) in keys {
+            for (key, caller, scope) in keys {
                 let crash = SeenCrash {
                     replica,
                     sent_at: attempt.sent_at,
@@ -320,6 +325,7 @@
                     service: service.clone(),
                     replica: replica.clone(),
                     print: key.print,
+                    scope,
                     crashes,
                     refused_for: refused.map(|refusal| refusal.until.since(now)),
                 }));
@@ -369,6 +375,7 @@
                 .name
                 .clone(),
             print: refusal.print,
+            scope: refusal.scope,
             crashes: refusal.crashes,
             replicas: refusal.replicas,
             until: refusal.until,
--- a/policy/src/forward/crash_record.rs
+++ b/policy/src/forward/crash_record.rs
@@ -10,7 +10,10 @@
 };
 use smallvec::SmallVec;
 
-use super::crash_sites::CrashSites;
+use super::{
+    crash_sites::CrashSites,
+    CrashScope, //
+};
 
 /// Crashes from which a request is refused.
 pub(super) const REFUSAL_CRASHES: u32 = 3;
@@ -101,15 +104,25 @@
         }
     }
 
-    /// Whether the fingerprint stands for a path of a caller in whatever form. The crashes under each form count
-    /// by themselves too.
+    /// What the fingerprint stands for.
+    pub(super) fn scope(&self) -> CrashScope {
+        match (self.notice.caller, self.sites.tells_forms()) {
+            (0, true) => CrashScope::Path,
+            (0, false) => CrashScope::Form,
+            _ => CrashScope::Content,
+        }
+    }
+
+    /// Whether the crashes are those under all forms of a path. The crashes under each form count by
+    /// themselves too.
     pub(super) fn is_of_path(&self) -> bool {
-        self.notice.caller == 0 && self.sites.tells_forms()
+        self.scope() == CrashScope::Path
     }
 
     /// Decides when the request becomes refused because of the replicas that have ended: at once if one more
     /// has ended in a run that began when those of a rack would all have ended, or else if it does not
-    /// succeed in time.
+    /// succeed in time. Replicas that ended together under several forms may have one cause, and show of none
+    /// of the forms that it crashes replicas, still less of other forms of the path.
     pub(super) fn watch_ended(&mut self, now: TimePoint, sent_at: TimePoint) {
         if self.notice.replicas.len() < ENDED_MAX || self.notice.evidence() == 0 {
             return;
@@ -120,8 +133,7 @@
             self.report_at = self.report_at.min(now);
         }
         let of_one_caller = self.notice.caller != 0 && self.callers.len() < 2;
-        let of_one_form = self.is_of_path() && !self.sites.has_several_forms();
-        if self.has_enough_crashes() || of_one_caller || of_one_form {
+        if self.has_enough_crashes() || of_one_caller || self.is_of_path() {
             return;
         }
         if sent_at >= self.third_end_at + BURST_PERIOD {
@@ -146,14 +158,31 @@
         self.keep_at = now;
     }
 
-    /// Whether a send that no trial covers counts against the trials: enough replicas have ended, and the
-    /// time is over in which the request might have turned out to be harmless.
-    pub(super) fn counts_sends(&self, now: TimePoint) -> bool {
+    /// Whether a send at `at` that no trial covers counts against the trials: enough replicas have ended, and
+    /// the time is over in which the request might have turned out to be harmless. Among the forms of a path
+    /// only sends that crash a replica count, since other forms may be harmless.
+    pub(super) fn counts_sends(&self, at: TimePoint) -> bool {
         let settled =
-            self.third_end_at != TimePoint::NEVER && now >= self.third_end_at + REFUTATION_PERIOD;
+            self.third_end_at != TimePoint::NEVER && at >= self.third_end_at + REFUTATION_PERIOD;
         settled && self.notice.replicas.len() >= ENDED_MAX && self.notice.evidence() > 0
     }
 
+    /// Whether a request in the form and at the service of `site` is under suspicion. Crashes under several
+    /// forms of a path that were seen together are no suspicion against all of them.
+    pub(super) fn suspects(&self, site: CrashSite) -> bool {
+        let crashes_min = match self.is_of_path() {
+            true => 2,
+            false => 1,
+        };
+        self.notice.evidence() >= crashes_min && self.sites.cover(site)
+    }
+
+    /// Takes back a crash that successes under further forms outweigh.
+    pub(super) fn forgive_one(&mut self) {
+        let notice = &mut self.notice;
+        notice.forgiven = notice.crashes.min(notice.forgiven + 1);
+    }
+
     /// Takes note that a run of the request under `variant` has succeeded: the replicas that ended may have
     /// had another cause, unless the request is sent in several forms.
     pub(super) fn forget_ended(&mut self, variant: u32) {
@@ -190,6 +219,7 @@
         notice.forgiven = notice.forgiven.max(refuted);
         if notice.evidence() == 0 {
             self.sites.forgive_all();
+            notice.passed = notice.passed.max(notice.trials);
             // Replicas that end from now on are others, also if another daemon has taken the crashes back.
             self.third_end_at = TimePoint::NEVER;
             self.condemn_at = TimePoint::NEVER;
@@ -204,7 +234,7 @@
     pub(super) fn is_last_chance(&self) -> bool {
         let evidence = self.notice.evidence();
         let has_ended = evidence > 0 && self.notice.replicas.len() >= ENDED_MAX;
-        evidence + 1 >= REFUSAL_CRASHES || has_ended
+        evidence + 1 >= REFUSAL_CRASHES || has_ended && !self.is_of_path()
     }
 
     /// Whether a retry that begins at `at` has to wait, because its crash could have the same cause as those
@@ -227,5 +257,6 @@
             && at < self.third_end_at + BURST_PERIOD
             && self.notice.evidence() > 0
             && !self.has_enough_crashes()
+            && !self.is_of_path()
     }
 }
--- a/policy/src/forward/crash_sites.rs
+++ b/policy/src/forward/crash_sites.rs
@@ -4,6 +4,10 @@
 //! which replicas crashed. Once there are two forms it applies to all forms, and once there are two
 //! services to all services, because a request that crashes its replicas does so in any form and at
 //! any service. A request that has succeeded at a site is served on there.
+//!
+//! Each tally can be taken back by what may still run while a refusal applies: that of one form by a success
+//! of the form, and any tally by successes under further forms at its service, or at any service if it
+//! stands for several.
 
 use std::mem;
 
@@ -107,21 +111,23 @@
         self.tally_mut(site).crashes += 1;
     }
 
-    /// Takes back the crashes at a site where the request has succeeded.
-    pub(super) fn record_success(&mut self, site: CrashSite) {
+    /// Takes back the crashes at a site where the request has succeeded. Returns whether so many further forms
+    /// have succeeded at the service that one crash there no longer counts.
+    pub(super) fn record_success(&mut self, site: CrashSite) -> bool {
         let mut tallies = self.tallies.iter_mut();
         let known = tallies.find(|tally| tally.site == site && tally.evidence() > 0);
-        let is_further = known.is_none() && !self.cleared.contains(&site);
+        let is_further = known.is_none();
         if let Some(tally) = known {
             tally.forgiven = tally.crashes;
         }
-        if self.cleared.contains(&site) || self.cleared.len() >= SITES_MAX {
-            return;
+        if self.cleared.contains(&site) {
+            return false;
         }
-        self.cleared.push(site);
-        if is_further {
-            self.record_further_success(site.service);
+        if self.cleared.len() >= SITES_MAX {
+            self.cleared.remove(0);
         }
+        self.cleared.push(site);
+        is_further && self.record_further_success(site.service)
     }
 
     /// Takes back the crashes at services that have no tally of their own, because a query in the form `variant`
@@ -164,13 +170,15 @@
     /// whether it had news.
     pub(super) fn merge(&mut self, tallies: &[CrashTally]) -> bool {
         let mut changed = false;
-        let mut without_room = 0;
         for other in tallies {
             let known = self.tallies.iter().any(|tally| tally.site == other.site);
             let is_full = self.tallies.len() + 1 >= CrashNotice::TALLIES_MAX
                 && self.tallies.iter().all(|tally| tally.evidence() > 0);
             if !known && is_full {
-                without_room += other.evidence();
+                let tally = self.tally_mut(self.several_sites(other.site));
+                let missing = other.evidence().saturating_sub(tally.evidence());
+                tally.crashes += missing;
+                changed |= missing > 0;
                 continue;
             }
             let tally = self.tally_mut(other.site);
@@ -178,32 +186,9 @@
             tally.crashes = tally.crashes.max(other.crashes);
             tally.forgiven = tally.forgiven.max(other.forgiven);
         }
-        if without_room > 0 {
-            let first = tallies.first().map_or(0, |tally| tally.site.variant);
-            let mut variant = self.common_variant(first);
-            if tallies.iter().any(|tally| tally.site.variant != variant) {
-                variant = 0;
-            }
-            let several = self.tally_mut(CrashSite {
-                variant,
-                service: 0,
-            });
-            let missing = without_room.saturating_sub(several.evidence());
-            several.crashes += missing;
-            changed |= missing > 0;
-        }
         changed
     }
 
-    /// The form under which all crashes happened, and `variant` too; 0 if there are several.
-    fn common_variant(&self, variant: u32) -> u32 {
-        let mut tallies = self.tallies.iter();
-        match tallies.all(|tally| tally.site.variant == variant) {
-            true => variant,
-            false => 0,
-        }
-    }
-
     fn is_cleared(&self, site: CrashSite) -> bool {
         let mut tallies = self.tallies.iter();
         let tally = tallies.find(|tally| tally.site == site);
@@ -211,7 +196,7 @@
         self.cleared.contains(&site) && !relapsed
     }
 
-    fn record_further_success(&mut self, service: u32) {
+    fn record_further_success(&mut self, service: u32) -> bool {
         if !self.further.iter().any(|(known, _)| *known == service) {
             self.further.push((service, 0));
         }
@@ -221,28 +206,29 @@
             }
             *successes += 1;
             if *successes < SUCCESSES_PER_CRASH {
-                return;
+                return false;
             }
             *successes = 0;
         }
+        let mut outweighed = false;
         for tally in &mut self.tallies {
-            if tally.site.service == service && tally.evidence() > 0 {
+            let applies = tally.site.service == service || tally.site.service == 0;
+            if applies && tally.evidence() > 0 {
                 tally.forgiven += 1;
+                outweighed = true;
             }
         }
+        outweighed
     }
 
     /// The tally of a site. If there are too many, the one with the least evidence joins the tally
-    /// that stands for several sites.
+    /// that stands for several sites. Crashes of several sites may be one, so the greater count holds.
     fn tally_mut(&mut self, site: CrashSite) -> &mut CrashTally {
         let known = self.tallies.iter().position(|tally| tally.site == site);
         if let Some(index) = known {
             return &mut self.tallies[index];
         }
-        let several = CrashSite {
-            variant: self.common_variant(site.variant),
-            service: 0,
-        };
+        let several = self.several_sites(site);
         if self.tallies.len() + 1 >= CrashNotice::TALLIES_MAX && site != several {
             let other_sites = self.tallies.iter().enumerate();
             let other_sites = other_sites.filter(|(_, tally)| tally.site != several);
@@ -251,7 +237,8 @@
                 let evidence = mem::take(&mut self.tallies[index]).evidence();
                 self.tallies.remove(index);
                 if evidence > 0 {
-                    self.tally_mut(several).crashes += evidence;
+                    let tally = self.tally_mut(several);
+                    tally.crashes += evidence.saturating_sub(tally.evidence());
                 }
             }
         }
@@ -262,4 +249,18 @@
         });
         &mut self.tallies[index]
     }
+
+    /// The site that stands for those of all crashes and `site`: with 0 for what differs among them.
+    fn several_sites(&self, site: CrashSite) -> CrashSite {
+        let mut several = site;
+        for tally in &self.tallies {
+            if tally.site.variant != site.variant {
+                several.variant = 0;
+            }
+            if tally.site.service != site.service {
+                several.service = 0;
+            }
+        }
+        several
+    }
 }
--- a/policy/src/forward/crash_table.rs
+++ b/policy/src/forward/crash_table.rs
@@ -41,7 +41,6 @@
         REFUSAL_CRASHES, //
     },
     crash_sites::CrashSites,
-    crash_trials::EXHAUSTED_PERIOD,
     CrashKey,
     CrashRefusal,
     SeenCrash, //
@@ -54,6 +53,8 @@
     Duration::from_secs(600),
     Duration::from_secs(24 * 60 * 60),
 ];
+/// The same for all forms of a path together, whatever the crash. Harmless forms are refused too.
+const PATH_REFUSAL_PERIOD: Duration = Duration::from_secs(2);
 /// Time for which crashes are remembered, after the last one or after the end of a refusal.
 pub(super) const EVIDENCE_PERIOD: Duration = Duration::from_secs(600);
 /// Largest time to expiry that is accepted from another daemon.
@@ -117,9 +118,9 @@
         if !record.refuses(key.site) {
             return None;
         }
-        let mut refusal = CrashRefusal::new(&record.notice);
+        let mut refusal = CrashRefusal::new(record);
         if record.notice.trials_left() == 0 {
-            refusal.until = refusal.until.max(now + EXHAUSTED_PERIOD);
+            refusal.until = refusal.until.max(record.exhausted_until(now));
         }
         (now < refusal.until).then_some(refusal)
     }
@@ -130,7 +131,7 @@
         let record = self.records.get(&key.print)?;
         let has_crashed = tried_at.is_none_or(|tried_at| record.last_crash_at > tried_at);
         let refused = record.refuses(key.site) && has_crashed;
-        refused.then(|| CrashRefusal::new(&record.notice))
+        refused.then(|| CrashRefusal::new(record))
     }
 
     /// Whether a retry has to wait: one more crash would make the request refused, but would not count
@@ -149,7 +150,7 @@
     /// Whether a crash counts against a request in this form at this service.
     pub fn suspects(&self, key: CrashKey) -> bool {
         let record = self.records.get(&key.print);
-        record.is_some_and(|record| record.notice.evidence() > 0 && record.sites.cover(key.site))
+        record.is_some_and(|record| record.suspects(key.site))
     }
 
     /// Whether one more crash makes the request refused.
@@ -210,6 +211,10 @@
         if known == 0 {
             record.first_crash_at = crash.broke_at;
         }
+        let of_path = record.is_of_path();
+        if of_path && known < REFUSAL_CRASHES && record.counts_sends(crash.sent_at) {
+            record.notice.trials += 1;
+        }
         let notice = &mut record.notice;
         notice.tallies = record.sites.tallies.clone();
         notice.crashes += 1;
@@ -217,7 +222,10 @@
         notice.expires_at = now + EVIDENCE_PERIOD;
         let evidence = notice.evidence();
         if let Some(further) = evidence.checked_sub(REFUSAL_CRASHES) {
-            notice.refused_until = now + refusal_period(further);
+            notice.refused_until = match of_path {
+                true => notice.refused_until.max(now + PATH_REFUSAL_PERIOD),
+                false => now + refusal_period(further),
+            };
             notice.expires_at = notice.refused_until + EVIDENCE_PERIOD;
             record.keep_at = now;
         }
@@ -241,14 +249,17 @@
     /// Records that the request, a query over shards, was answered by enough of them: crashes at shards that
     /// are not kept one by one no longer count against it. Returns how many fewer count.
     pub fn record_gathered(&mut self, now: TimePoint, key: CrashKey) -> u32 {
-        self.take_back(now, key, |sites| sites.record_gathered(key.site.variant))
+        self.take_back(now, key, |sites| {
+            sites.record_gathered(key.site.variant);
+            false
+        })
     }
 
     fn take_back(
         &mut self,
         now: TimePoint,
         key: CrashKey,
-        change: impl FnOnce(&mut CrashSites),
+        change: impl FnOnce(&mut CrashSites) -> bool,
     ) -> u32 {
         let Some(record) = self.records.get_mut(&key.print) else {
             return 0;
@@ -257,7 +268,9 @@
         if evidence == 0 {
             return 0;
         }
-        change(&mut record.sites);
+        if change(&mut record.sites) && record.is_of_path() {
+            record.forgive_one();
+        }
         record.limit_evidence();
         record.forget_ended(key.site.variant);
         let refuted = evidence - record.notice.evidence();
--- a/policy/src/forward/crash_trials.rs
+++ b/policy/src/forward/crash_trials.rs
@@ -15,13 +15,14 @@
 };
 
 use super::{
+    crash_record::CrashRecord,
     crash_table::EVIDENCE_PERIOD,
     CrashKey,
     CrashTable, //
 };
 
 /// Time for which a request without trials is refused and remembered, counted from its last arrival.
-pub(super) const EXHAUSTED_PERIOD: Duration = Duration::from_secs(24 * 60 * 60);
+const EXHAUSTED_PERIOD: Duration = Duration::from_secs(24 * 60 * 60);
 /// Age from which the copy of a notice in the store is renewed while the request still comes.
 const RENEWAL_PERIOD: Duration = Duration::from_secs(6 * 60 * 60);
 /// Notices that are written to the store at a time, and the pause until the next ones.
@@ -41,6 +42,16 @@
     pub left: u32,
 }
 
+impl CrashRecord {
+    /// The end of a refusal of a request without trials.
+    pub(super) fn exhausted_until(&self, now: TimePoint) -> TimePoint {
+        match self.is_of_path() {
+            true => self.notice.expires_at,
+            false => now + EXHAUSTED_PERIOD,
+        }
+    }
+}
+
 impl CrashTable {
     /// The notice of a request whose refusal has ended and that needs a trial to be sent.
     pub fn trial_needed(&self, now: TimePoint, key: CrashKey) -> Option<CrashNotice> {
@@ -74,7 +85,7 @@
             return None;
         }
         let record = self.records.get_mut(&key.print)?;
-        let counts = record.counts_sends(now);
+        let counts = record.counts_sends(now) && !record.is_of_path();
         let takes_trial = counts && !tried;
         record.notice.trials += u32::from(takes_trial);
         let send = SuspectSend {
@@ -89,9 +100,11 @@
         Some(send)
     }
 
-    /// Remembers a refused request for longer, because it still comes.
+    /// Remembers a refused request for longer, because it still comes. A refusal of all forms of a path is not
+    /// extended: harmless forms would be refused for as long as their caller sends them.
     pub fn extend(&mut self, now: TimePoint, print: QueryPrint) {
-        let Some(record) = self.records.get_mut(&print) else {
+        let records = self.records.get_mut(&print);
+        let Some(record) = records.filter(|record| !record.is_of_path()) else {
             return;
         };
         let notice = &mut record.notice;
--- a/policy/src/forward/logged_event.rs
+++ b/policy/src/forward/logged_event.rs
@@ -17,6 +17,7 @@
 use smallvec::SmallVec;
 
 use super::{
+    CrashScope,
     LossEvidence,
     RelayOutcome,
     RelayRefusal,
@@ -78,6 +79,8 @@
         replica: ReplicaName,
         /// Fingerprint of the request, with or without its caller.
         print: QueryPrint,
+        /// What the fingerprint stands for.
+        scope: CrashScope,
         /// Crashes that count against the request.
         crashes: u32,
         /// Time for which the request is refused from now on, if it is.
@@ -146,6 +149,8 @@
         service: ServiceName,
         /// The fingerprint that is refused.
         print: QueryPrint,
+        /// What the fingerprint stands for.
+        scope: CrashScope,
         /// Crashes that count against it.
         crashes: u32,
         /// The replicas that crashed last.
--- a/policy/src/forward/mod.rs
+++ b/policy/src/forward/mod.rs
@@ -24,6 +24,7 @@
 mod crash_record;
 mod crash_refusal;
 mod crash_reports;
+mod crash_scope;
 mod crash_sites;
 mod crash_table;
 mod crash_trials;
@@ -85,6 +86,7 @@
 
 pub use crash_key::CrashKey;
 pub use crash_refusal::CrashRefusal;
+pub use crash_scope::CrashScope;
 pub use crash_table::CrashTable;
 pub use crash_trials::SuspectSend;
 pub use delegate::BranchAnswer;
--- a/policy/src/forward/trial_dispatch.rs
+++ b/policy/src/forward/trial_dispatch.rs
@@ -68,7 +68,8 @@
         true
     }
 
-    /// Handles the answer of the store to a claim: sends the request on, or refuses it.
+    /// Handles the answer of the store to a claim: sends the request on, without the parts that need the trial
+    /// if it was not granted, or refuses it if too few parts are left.
     pub(super) fn on_trial_claimed(
         &mut self,
         now: TimePoint,
@@ -117,6 +118,9 @@
             return;
         }
         if !granted {
+            self.leave_out_refused(&mut request, print, until);
+        }
+        if request.open_parts() + request.done_parts() < request.needed {
             self.request_timers.remove(&(request.timer_at, query));
             self.intake.in_flight -= u32::from(request.terms.is_some());
             let rates = &mut self.rates;
@@ -135,6 +139,20 @@
         self.complete_or_schedule(now, query, actions);
     }
 
+    /// Leaves out the parts for which the trial of `print` was not granted.
+    fn leave_out_refused(&self, request: &mut PendingRequest, print: QueryPrint, until: TimePoint) {
+        request.refused_until = request.refused_until.max(Some(until));
+        let untried = |trial: &mut RequestTrial| trial.prints.is_empty();
+        request.trial.take_if(untried);
+        for index in 0..request.parts.len() {
+            let keys = self.part_keys(request, index);
+            let mut keys = keys.iter().filter(|key| key.print == print);
+            if keys.any(|key| self.crashes.check_resend(*key, None).is_some()) {
+                request.parts[index].state = PartState::Failed;
+            }
+        }
+    }
+
     /// Whether a part has to wait for the outcome of another one: replicas have crashed under the request, or
     /// connections have just broken under it, and none has run it to its end yet.
     pub(super) fn waits_for_canary(&self, request: &PendingRequest, index: usize) -> bool {
