Find the other daemons through changed settings and the store

Callers saw: a machine was added with three stale seeds; its settings then named living ones, and it got SIGHUP.

Cause: the seeds were read once, at the start. SIGHUP wrote a log line, a change without SIGHUP went unnoticed, and nothing else leads to the others.

Change: the settings file is read each second and on SIGHUP. Changed seeds are contacted at once, also while a sync is pending. A file that can't be used changes nothing and is logged (E7073); fields that only a start applies are named in E7009. The item `contacts` in the store holds a few live daemons: one that is alone reads it, three keepers of each group read it every 15 s, so that groups meet too. That is 12 reads a minute for a fleet of any size. A daemon that is alone while the record names others reckons with their number.

--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -106,7 +106,7 @@
     ITEM_UNREADABLE = "E7008" Warning "can't read a directory item; ignoring it";
     /// The settings file changed while the daemon runs.
     SETTINGS_CHANGED = "E7009" Info
-        "settings file changed; the new settings take effect at the next start";
+        "settings file changed; using its seeds, the other settings take effect at the next start";
     /// A daemon that reads the directory for others did not answer.
     READER_FAILED = "E7010" Warning
         "daemon that reads the directory did not answer; asking another source for a while";
@@ -211,6 +211,11 @@
     /// The room for request bytes of a port has run out.
     REQUEST_BYTES_SHORT = "E7072" Warning
         "room for request bytes has run out; refusing requests and dropping those without progress";
+    /// The settings file changed and can't be used.
+    SETTINGS_UNUSABLE = "E7073" Warning
+        "can't use the changed settings file; the settings in force stay, and it is read again";
+    /// The record of contacts in the store was read by a daemon that is alone, or written.
+    CONTACTS_USED = "E7074" Info "looked for other daemons in the store";
     /// The environment switches parts of the work-aware forwarding on.
     WORK_PARTS_ON = "E7080" Warning
         "environment names parts of the work-aware forwarding to switch on; meant for measurements";
--- a/daemon/src/forward/forward_loop.rs
+++ b/daemon/src/forward/forward_loop.rs
@@ -28,6 +28,7 @@
         SendCommand, //
     },
     peers::{
+        ContactBook,
         PeerCore,
         PeerEvent, //
     },
@@ -76,13 +77,11 @@
         DaemonClock,
         SuspensionWatch, //
     },
-    events,
     lifecycle::{
         DaemonLife,
         LifeEvent,
         LifePhase, //
     },
-    log_event,
     peering::PeerLink,
     serving_view::ServingView,
     upstream_link::UpstreamLink, //
@@ -123,6 +122,8 @@
     /// The first read waits for other daemons until this time, so that few of them read the store.
     pub(super) join_deadline: TimePoint,
     pub(super) peers: PeerCore,
+    /// The record of contacts, by which this daemon finds others if its seeds lead to none.
+    pub(super) contacts: ContactBook,
     pub(super) peer_link: PeerLink,
     /// Long polls of other daemons that have no answer yet.
     pub(super) polls: Vec<LongPoll>,
@@ -215,7 +216,12 @@
                 let _ = sender.send(self.status(now));
             }
             InboxEvent::StopAsked => self.stop(now),
-            InboxEvent::SettingsChanged => log_event!(self.log.logger, events::SETTINGS_CHANGED),
+            InboxEvent::SettingsChanged(change) => self.apply_settings(now, change),
+            InboxEvent::SettingsUnusable(error) => self.reject_settings(&error),
+            InboxEvent::ContactsRead(result) => self.end_contacts_read(now, result),
+            InboxEvent::ContactsWritten(record, result) => {
+                self.end_contacts_write(now, &record, &result);
+            }
             InboxEvent::CallerPortClosed => self.caller_port_closed = true,
         }
     }
@@ -225,7 +231,7 @@
         let engine = self.engine.next_wakeup().min(self.peers.next_wakeup());
         let feed = self.feed.next_wakeup().min(self.next_poll_due());
         let lifecycle = self.quiet_until.min(self.stop_deadline);
-        let directory = feed.min(self.next_read_at);
+        let directory = feed.min(self.next_read_at).min(self.contacts.next_check());
         engine.min(directory).min(lifecycle).min(self.next_sweep_at)
     }
 
@@ -245,6 +251,7 @@
         if self.peers.next_wakeup() <= now {
             self.update_peers(now, PeerEvent::TimerFired);
         }
+        self.read_contacts_if_due(now);
         self.start_next_read(now);
         if self.next_sweep_at <= now {
             self.next_sweep_at = now + SWEEP_INTERVAL;
--- a/daemon/src/forward/forward_peers.rs
+++ b/daemon/src/forward/forward_peers.rs
@@ -12,6 +12,7 @@
         RelayPeer, //
     },
     peers::{
+        ContactRole,
         MemberState,
         PeerAction,
         PeerEvent,
@@ -162,7 +163,14 @@
         });
     }
 
-    fn apply_members(&mut self, now: TimePoint) {
+    /// Number of daemons that this one knows, with itself. Dead members count too: a daemon that is unreachable
+    /// from here may still spend its share of the retry budget.
+    pub(super) fn known_daemons(&self) -> u32 {
+        let others = u32::try_from(self.peers.members().count()).unwrap_or(u32::MAX);
+        others.saturating_add(1)
+    }
+
+    pub(super) fn apply_members(&mut self, now: TimePoint) {
         let is_alive = |member: &&PeerMember| member.state == MemberState::Alive;
         let peers = self
             .peers
@@ -186,10 +194,11 @@
         let relay_peers = relay_peers.collect();
         self.dispatch(now, ForwardEvent::RelayPeersListed(relay_peers));
         self.feed.set_peers(peers);
-        // Dead members count too: a daemon that is unreachable from here may still spend its share
-        // of the retry budget.
-        let daemons = u32::try_from(self.peers.members().count()).unwrap_or(u32::MAX);
-        let daemons = daemons.saturating_add(1);
+        let unmet = match self.peers.contact_role() {
+            ContactRole::Alone => self.contacts.unmet_daemons(),
+            ContactRole::Keeper | ContactRole::Member => 0,
+        };
+        let daemons = self.known_daemons().max(unmet);
         self.metrics.daemons.set(i64::from(daemons));
         if self.log.take_permit(now, true) {
             log_event!(self.log.logger, events::PEERS_CHANGED, "daemons" => daemons);
--- a/daemon/src/forward/inbox_event.rs
+++ b/daemon/src/forward/inbox_event.rs
@@ -16,6 +16,7 @@
         SyncBody, //
     },
     AttemptId,
+    ContactRecord,
     DaemonName,
     QueryId,
     QueryPrint, //
@@ -26,12 +27,14 @@
     arrived_request::ArrivedRequest,
     replica_exchange::ExchangeOutcome,
     reply_budget::ReplyAccount,
+    settings_watch::SettingsChange,
     store_reader::{
         ReadError,
         StoreBatch, //
     },
 };
 use crate::{
+    daemon_error::DaemonError,
     peering::RelayFailure,
     status_body::StatusBody,
     upstream_link::{
@@ -112,7 +115,13 @@
     /// A stop was requested; a second request stops the daemon at once.
     StopAsked,
     /// The settings file has changed.
-    SettingsChanged,
+    SettingsChanged(SettingsChange),
+    /// The settings file has changed and can't be used.
+    SettingsUnusable(DaemonError),
+    /// A read of the record of contacts ended: the record and its revision.
+    ContactsRead(Result<(ContactRecord, u64), ReadError>),
+    /// This record of contacts was sent to the store; whether the store has taken it.
+    ContactsWritten(ContactRecord, Result<bool, ReadError>),
     /// The caller port is closed and all its connections have ended.
     CallerPortClosed,
 }
--- a/daemon/src/forward/mod.rs
+++ b/daemon/src/forward/mod.rs
@@ -5,6 +5,7 @@
 mod account_log;
 mod arrived_request;
 mod caller_reply;
+mod contact_store;
 mod crash_store;
 mod crash_tasks;
 mod directory_calls;
@@ -31,6 +32,7 @@
 mod request_access;
 mod request_handler;
 mod run_forward;
+mod settings_watch;
 mod source_log;
 mod store_reader;
 
--- a/daemon/src/forward/run_forward.rs
+++ b/daemon/src/forward/run_forward.rs
@@ -38,6 +38,7 @@
         ForwardSettings, //
     },
     peers::{
+        ContactBook,
         PeerCore,
         PeerSettings, //
     },
@@ -60,7 +61,8 @@
             UnboundedSender, //
         },
         oneshot,
-        watch, //
+        watch,
+        Notify, //
     },
     task::{
         spawn_local,
@@ -85,6 +87,7 @@
         caller_routes,
         RequestHandler, //
     },
+    settings_watch::SettingsWatch,
     source_log::SourceLog,
     store_reader::{
         ReadScope,
@@ -166,20 +169,26 @@
     Ok(BootFile::parse(&path.display().to_string(), &text)?)
 }
 
-/// Runs the forwarding daemon on a runtime of its own until it is stopped.
+/// Runs the forwarding daemon on a runtime of its own until it is stopped. `boot` was read from `path`, which
+/// is watched for changes.
 ///
 /// # Errors
 ///
 /// [`DaemonError`] if the daemon can't start.
-pub fn run_forward(boot: BootFile, log: Logger) -> Result<StopReport, DaemonError> {
+pub fn run_forward(path: &Path, boot: BootFile, log: Logger) -> Result<StopReport, DaemonError> {
     let runtime = runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(DaemonError::RuntimeFailed)?;
-    LocalSet::new().block_on(&runtime, serve(boot, log))
+    let settings = SettingsWatch::new(path.to_owned(), boot.clone());
+    LocalSet::new().block_on(&runtime, serve(boot, settings, log))
 }
 
-async fn serve(boot: BootFile, log: Logger) -> Result<StopReport, DaemonError> {
+async fn serve(
+    boot: BootFile,
+    settings_watch: SettingsWatch,
+    log: Logger,
+) -> Result<StopReport, DaemonError> {
     let clock = DaemonClock::start();
     let (events, inbox) = unbounded_channel();
     let (view_sender, view) = watch::channel(ServingView::default());
@@ -254,12 +263,14 @@
     };
     let signals = SignalSet::open()?;
     let signal_events = events.clone();
-    spawn_local(signals.dispatch(move |request| {
-        let event = match request {
-            SignalRequest::Stop => InboxEvent::StopAsked,
-            SignalRequest::Reload => InboxEvent::SettingsChanged,
-        };
-        signal_events.send(event).is_ok()
+    let reload = Arc::new(Notify::new());
+    spawn_local(settings_watch.run(Arc::clone(&reload), events.clone()));
+    spawn_local(signals.dispatch(move |request| match request {
+        SignalRequest::Stop => signal_events.send(InboxEvent::StopAsked).is_ok(),
+        SignalRequest::Reload => {
+            reload.notify_one();
+            true
+        }
     }));
     log_event!(
         log, events::STARTED,
@@ -315,6 +326,7 @@
             } else {
                 RESTART_JOIN_TIMEOUT
             },
+        contacts: ContactBook::new(now, boot.peer_address),
         peers: PeerCore::new(now, peer_settings),
         peer_link,
         polls: Vec::new(),
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -47,7 +47,7 @@
         return Ok(StopReport::default());
     }
     let log = StdoutLogger::open();
-    let report = run_forward(boot, log.logger.clone());
+    let report = run_forward(path, boot, log.logger.clone());
     log.close();
     report
 }
--- a/daemon/tests/forward_cluster/mod.rs
+++ b/daemon/tests/forward_cluster/mod.rs
@@ -79,6 +79,20 @@
         }
     }
 
+    /// Replaces the settings file, as the platform does.
+    pub(crate) fn write_settings(&self, text: &str) {
+        std::fs::write(self.directory.path().join("boot.json"), text).unwrap();
+    }
+
+    /// The settings file with other seeds.
+    pub(crate) fn settings_with_seeds(&self, seeds: &[[u8; 4]]) -> String {
+        let text = std::fs::read(self.directory.path().join("boot.json")).unwrap();
+        let mut boot: serde_json::Value = serde_json::from_slice(&text).unwrap();
+        let seeds = seeds.iter().map(|ip| SocketAddr::from((*ip, 7404)));
+        boot["seeds"] = seeds.map(|seed| seed.to_string()).collect();
+        boot.to_string()
+    }
+
     /// The id of the process.
     pub(crate) fn pid(&self) -> u32 {
         self.child.id()
@@ -214,6 +228,19 @@
         DaemonProcess::start(&boot, ip, sink)
     }
 
+    /// Starts a daemon whose seeds are all addresses at which no daemon runs, and waits until it is ready.
+    pub(crate) fn daemon_with_stale_seeds(&mut self, zone: &str) -> DaemonProcess {
+        self.last_number += 1;
+        let [high, low] = self.subnet;
+        let ip = [127, high, low, self.last_number];
+        let seeds = [251, 252, 253].map(|number| [127, high, low, number]);
+        let name = format!("d{}", self.last_number);
+        let boot = boot_text(&name, ip, zone, self.store_address, &seeds);
+        let daemon = DaemonProcess::start(&boot, ip, LogSink::File);
+        wait_for("the daemon is ready", || daemon.is_ready());
+        daemon
+    }
+
     /// Starts a daemon whose settings limit its memory to `memory_mb` and its open descriptors to
     /// `max_fds`, and waits until it is ready.
     pub(crate) fn limited_daemon(
--- a/policy/src/peers/mod.rs
+++ b/policy/src/peers/mod.rs
@@ -1,6 +1,7 @@
 //! Membership of daemons: failure detection by probes, and dissemination of member, drain and
 //! quarantine notes by datagrams.
 
+mod contact_book;
 mod datagram_codec;
 mod member_state;
 mod member_table;
@@ -14,6 +15,10 @@
 mod peer_sync;
 mod probe_round;
 
+pub use contact_book::{
+    ContactBook,
+    ContactRole, //
+};
 pub use datagram_codec::{
     open_datagram,
     open_stream,
--- a/policy/src/peers/peer_core.rs
+++ b/policy/src/peers/peer_core.rs
@@ -38,6 +38,7 @@
         RelayedProbe, //
     },
     seal_datagram,
+    ContactRole,
     MemberState,
     PeerAction,
     PeerCounts,
@@ -53,6 +54,8 @@
 const NOTE_SENDS_BASE: u32 = 3;
 /// Daemons of a data centre that watch the store.
 const WATCHERS_PER_ZONE: usize = 2;
+/// Daemons that keep the record of contacts.
+const CONTACT_KEEPERS: usize = 3;
 
 /// Tracks the daemons of a deployment and disseminates notes among them.
 ///
@@ -81,6 +84,8 @@
     pub(super) requested_bundle: (BundleVersion, TimePoint),
     /// Peer addresses in the last VM list.
     pub(super) vm_list_addresses: Vec<SocketAddr>,
+    /// Peer addresses in the record of contacts.
+    pub(super) contacts: Vec<SocketAddr>,
     pub(super) random: Pcg64Mcg,
     /// Daemons still to be probed in the current round, the next one last.
     pub(super) probe_order: Vec<DaemonName>,
@@ -130,6 +135,7 @@
             bundle: (BundleVersion(0), 0),
             requested_bundle: (BundleVersion(0), TimePoint(0)),
             vm_list_addresses: Vec::new(),
+            contacts: Vec::new(),
             random: Pcg64Mcg::seed_from_u64(settings.random_seed),
             probe_order: Vec::new(),
             probe: None,
@@ -189,6 +195,22 @@
         higher_ranked < WATCHERS_PER_ZONE
     }
 
+    /// What this daemon has to do for the record of contacts. Its keepers are the first live daemons by name.
+    pub fn contact_role(&self) -> ContactRole {
+        let alive = self.table.iter();
+        let mut others = alive.filter(|member| member.state == MemberState::Alive);
+        if others.next().is_none() {
+            return ContactRole::Alone;
+        }
+        let alive = self.table.iter();
+        let alive = alive.filter(|member| member.state == MemberState::Alive);
+        let earlier = alive.filter(|member| member.daemon < self.local.daemon);
+        match earlier.count() < CONTACT_KEEPERS {
+            true => ContactRole::Keeper,
+            false => ContactRole::Member,
+        }
+    }
+
     /// Counters of this daemon's peer traffic since its start.
     pub fn counts(&self) -> &PeerCounts {
         &self.counts
@@ -216,6 +238,14 @@
         match event {
             PeerEvent::Datagram { bytes } => self.handle_datagram(now, &bytes, actions),
             PeerEvent::VmListRead { addresses } => self.apply_vm_list(now, addresses, actions),
+            PeerEvent::SeedsChanged { addresses } => {
+                self.meet(now, &addresses, actions);
+                self.settings.seeds = addresses;
+            }
+            PeerEvent::ContactsRead { addresses } => {
+                self.meet(now, &addresses, actions);
+                self.contacts = addresses;
+            }
             PeerEvent::BundleApplied { version, digest } => {
                 self.bundle = (version, digest);
                 self.schedule_push(now);
--- a/policy/src/peers/peer_event.rs
+++ b/policy/src/peers/peer_event.rs
@@ -29,6 +29,16 @@
         /// Peer addresses of the daemons in the list.
         addresses: Vec<SocketAddr>,
     },
+    /// The settings name other seeds.
+    SeedsChanged {
+        /// Peer addresses of the seeds, which take the place of those before.
+        addresses: Vec<SocketAddr>,
+    },
+    /// The record of contacts in the store was read. Some addresses may be out of date.
+    ContactsRead {
+        /// Peer addresses of the daemons in it.
+        addresses: Vec<SocketAddr>,
+    },
     /// A bundle version came into force on this daemon.
     BundleApplied {
         /// Version of the bundle.
--- a/policy/src/peers/peer_sync.rs
+++ b/policy/src/peers/peer_sync.rs
@@ -46,11 +46,12 @@
         }
     }
 
-    /// Addresses of daemons to sync with on joining: the seeds and the VM list, without this
-    /// daemon.
+    /// Addresses of daemons to sync with on joining: the seeds, the VM list and the contacts in the
+    /// store, without this daemon.
     pub(super) fn join_addresses(&self) -> Vec<SocketAddr> {
         let mut addresses = self.settings.seeds.clone();
         addresses.extend(&self.vm_list_addresses);
+        addresses.extend(&self.contacts);
         addresses.retain(|address| *address != self.local.address);
         addresses
     }
@@ -68,6 +69,26 @@
         }
     }
 
+    /// Requests a sync from a daemon at one of `addresses` that is not known to live, also while another sync
+    /// is pending: that may be with a daemon that is gone. So groups that don't know each other meet.
+    pub(super) fn meet(
+        &mut self,
+        now: TimePoint,
+        addresses: &[SocketAddr],
+        actions: &mut Vec<PeerAction>,
+    ) {
+        let is_known = |address: &SocketAddr| {
+            let mut members = self.table.iter();
+            members.any(|member| member.is_active() && member.address == *address)
+        };
+        let strangers = addresses.iter().copied();
+        let strangers = strangers.filter(|address| *address != self.local.address);
+        let strangers: Vec<SocketAddr> = strangers.filter(|address| !is_known(address)).collect();
+        if let Some(to) = strangers.choose(&mut self.random).copied() {
+            self.request_sync(now, to, actions);
+        }
+    }
+
     /// Requests a sync from a daemon whose member digest (`view`) differs. While notes are queued
     /// no sync is made, because the notes may remove the difference.
     pub(super) fn compare_digest(
--- a/schema/src/lib.rs
+++ b/schema/src/lib.rs
@@ -38,6 +38,7 @@
 mod bundle_digest;
 mod cold_bounds;
 mod cold_limit;
+mod contact_record;
 mod cpu_capacity;
 mod crash_notice;
 mod crash_tally;
@@ -75,6 +76,7 @@
 pub use bundle_digest::BundleDigest;
 pub use cold_bounds::ColdBounds;
 pub use cold_limit::ColdLimit;
+pub use contact_record::ContactRecord;
 pub use cpu_capacity::{
     CapacityError,
     CpuCapacity, //
