Stop a crashing request before a hedge doubles what it costs

Evidence: the logs of a failing run. Beside load a replica takes longer to end than the hedge delay, so the first request runs on two replicas. Their ends count as one crash, of which other daemons learn after half a second. The second daemon gets the request 316 ms later, knows nothing, and loses two more, one by a hedge too; the third loses the last two.

Change: the end of a second replica under one form is reported at once, also where both count as one crash, and a request under suspicion is not hedged: it runs on one replica at a time.

Tests: a_hedged_request_that_crashes_two_replicas_costs_few_more failed before.

--- a/policy/src/forward/attempt_dispatch.rs
+++ b/policy/src/forward/attempt_dispatch.rs
@@ -350,6 +350,11 @@
                 request.parts[index].check_at = TimePoint::NEVER;
                 continue;
             }
+            if self.is_suspect(request, index) {
+                // It runs on one replica at a time, which it may crash.
+                request.parts[index].check_at = now + RECHECK_INTERVAL;
+                continue;
+            }
             self.dispatch(now, request, index, "late", actions);
         }
     }
--- a/policy/src/forward/crash_table.rs
+++ b/policy/src/forward/crash_table.rs
@@ -62,7 +62,9 @@
 /// Requests for which crashes are remembered.
 const RECORDS_MAX: usize = 4_096;
 /// Delay before the other daemons learn of a first crash. Most requests that a crash hits by chance
-/// succeed on another replica within it, and are not reported.
+/// succeed on another replica within it, and are not reported. The end of this many replicas under one
+/// form is reported at once, also if it counts as one crash: each other daemon might lose as many more.
+const REPORTED_ENDED: usize = 2;
 const REPORT_DELAY: Duration = Duration::from_millis(500);
 
 /// Counts crashes by request and decides which requests are refused.
@@ -191,6 +193,9 @@
         record.add_ended(crash.replica, crash.sent_at >= record.last_crash_at);
         record.add_caller(crash.caller);
         let known = record.notice.evidence();
+        if known > 0 && record.notice.replicas.len() == REPORTED_ENDED && !record.is_of_path() {
+            record.report_at = now;
+        }
         let same_caller = crash.caller != 0 && crash.caller == record.notice.caller;
         let same_form = record.is_of_path() && record.sites.has_only_form(key.site.variant);
         if (same_caller || same_form) && known > 0 && !record.has_enough_crashes() {
--- a/policy/tests/forward_crashes.rs
+++ b/policy/tests/forward_crashes.rs
@@ -380,6 +380,33 @@
     assert_eq!(bench.attempts_of(waiting).len(), 1);
 }
 
+/// Guards against the loss of all replicas in the first moments where the first request is hedged: both replicas
+/// ended before the other daemons knew of a crash, each of which lost two more.
+#[test]
+fn a_hedged_request_that_crashes_two_replicas_costs_few_more() {
+    let mut bench = CrashBench::new(3, single(), 12);
+    let first = bench.arrive(0, identity("/p", 1));
+    while bench.attempts_of(first).len() < 2 {
+        bench.advance(ms(10));
+    }
+    let hedged = bench.attempts_of(first);
+    bench.break_attempts(&hedged, ProbeOutcome::Refused);
+    let mut crashes = hedged.len();
+    for retry in 1..10 {
+        bench.advance(ms(300));
+        let query = bench.arrive(retry % 3, identity("/p", 1));
+        let end = bench.now + ms(1_000);
+        while bench.now < end {
+            // Each replica takes so long to end that a hedge would be sent.
+            bench.advance(ms(200));
+            let attempts = bench.attempts_of(query);
+            crashes += attempts.len();
+            bench.break_attempts(&attempts, ProbeOutcome::Refused);
+        }
+    }
+    assert!(crashes <= 4, "{crashes} replicas crashed");
+}
+
 /// Guards against a wrong verdict without an end, and against more retries than the platform allows:
 /// one request is let through after each refusal, and the next refusal is longer.
 #[test]
