Give back a trial that has reached no replica

Cause: trials are claimed in the store and count from the claim. One claimed while the replicas are down finds closed ports; the next one waits for ten seconds, until the next outage, and after three none is left.

Change: a request that ends without having reached a replica gives its trials back, also where one was granted and another denied. The next may follow after two seconds, and after up to thirty while no replica is reached. E7039 logs it.

The tests of late sends pass as they are.

--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -171,6 +171,9 @@
         "trial of a refused request claimed in the store; sent on if granted, else refused";
     /// A replica has run a trial to its end.
     TRIAL_PASSED = "E7034" Info "trial of a refused request succeeded; it takes none of the trials";
+    /// A trial has reached no replica.
+    TRIAL_RETURNED = "E7039" Info
+        "trial of a refused request reached no replica; it takes none of the trials";
     /// The store could not be told of crashes.
     CRASHES_NOT_KEPT = "E7035" Warning
         "can't keep the crashes under a request in the store; trying again in a second";
--- a/daemon/src/forward/forward_log.rs
+++ b/daemon/src/forward/forward_log.rs
@@ -214,6 +214,10 @@
                 logger, events::TRIAL_PASSED,
                 "request" => id, "query" => query.0, "print" => %print,
             ),
+            LoggedEvent::TrialReturned { query, print } => log_event!(
+                logger, events::TRIAL_RETURNED,
+                "request" => id, "query" => query.0, "print" => %print,
+            ),
             LoggedEvent::CrashReported {
                 print,
                 crashes,
--- a/daemon/src/forward/forward_loop.rs
+++ b/daemon/src/forward/forward_loop.rs
@@ -416,6 +416,11 @@
                 self.metrics.trials.get_or_create(&label).inc();
                 Some(query)
             }
+            LoggedEvent::TrialReturned { query, .. } => {
+                let label = [("outcome", "returned")];
+                self.metrics.trials.get_or_create(&label).inc();
+                Some(query)
+            }
             LoggedEvent::CrashCounted { query, .. }
             | LoggedEvent::CrashesRefuted { query, .. }
             | LoggedEvent::RequestRelayed { query, .. }
--- a/policy/src/forward/crash_trials.rs
+++ b/policy/src/forward/crash_trials.rs
@@ -15,7 +15,10 @@
 };
 
 use super::{
-    crash_record::CrashRecord,
+    crash_record::{
+        CrashRecord,
+        REFUSAL_CRASHES, //
+    },
     crash_table::EVIDENCE_PERIOD,
     CrashKey,
     CrashTable, //
@@ -23,6 +26,9 @@
 
 /// Time for which a request without trials is refused and remembered, counted from its last arrival.
 const EXHAUSTED_PERIOD: Duration = Duration::from_secs(24 * 60 * 60);
+/// Pause after a trial that has reached no replica: the shortest and the longest.
+const UNREACHED_PAUSE: Duration = Duration::from_secs(2);
+const UNREACHED_PAUSE_MAX: Duration = Duration::from_secs(30);
 /// Age from which the copy of a notice in the store is renewed while the request still comes.
 const RENEWAL_PERIOD: Duration = Duration::from_secs(6 * 60 * 60);
 /// Notices that are written to the store at a time, and the pause until the next ones.
@@ -73,6 +79,22 @@
         self.schedule_report(now, now);
     }
 
+    /// Records that a trial has reached no replica: it takes none of the trials, and the next one may follow after
+    /// a pause, which grows while no replica is reached.
+    pub fn return_trial(&mut self, now: TimePoint, print: QueryPrint) {
+        let Some(record) = self.records.get_mut(&print) else {
+            return;
+        };
+        let notice = &mut record.notice;
+        notice.passed += 1;
+        if notice.evidence() >= REFUSAL_CRASHES {
+            let pause = UNREACHED_PAUSE * (1 + notice.passed / 4);
+            notice.refused_until = now + pause.min(UNREACHED_PAUSE_MAX);
+        }
+        record.report_at = now;
+        self.schedule_report(now, now);
+    }
+
     /// Records a send; returns what is known of its request, or `None` if no crash counts against it. `tried`
     /// tells whether a trial covers it.
     pub fn record_send(
--- a/policy/src/forward/logged_event.rs
+++ b/policy/src/forward/logged_event.rs
@@ -132,6 +132,13 @@
         /// Fingerprint of the request, with or without its caller.
         print: QueryPrint,
     },
+    /// A trial of a refused request has reached no replica, and is given back.
+    TrialReturned {
+        /// The request.
+        query: QueryId,
+        /// Fingerprint of the request.
+        print: QueryPrint,
+    },
     /// Another daemon reported crashes under a request.
     CrashReported {
         /// Fingerprint of the request, with or without its caller.
--- a/policy/src/forward/request_completion.rs
+++ b/policy/src/forward/request_completion.rs
@@ -113,6 +113,7 @@
             let rates = &mut self.rates;
             self.admissions.give_back(now, &mut request, rates);
         }
+        self.return_unsent_trial(now, &request, actions);
         self.cancel_relay(now, &request, actions);
         self.cancel_branches(&request, actions);
         self.intake.in_flight -= u32::from(request.terms.is_some());
@@ -163,6 +164,7 @@
             let rates = &mut self.rates;
             self.admissions.give_back(now, &mut request, rates);
         }
+        self.return_unsent_trial(now, &request, actions);
         self.cancel_relay(now, &request, actions);
         self.cancel_branches(&request, actions);
         self.intake.in_flight -= u32::from(request.terms.is_some());
--- a/policy/src/forward/trial_dispatch.rs
+++ b/policy/src/forward/trial_dispatch.rs
@@ -122,6 +122,7 @@
         }
         if request.open_parts() + request.done_parts() < request.needed {
             self.request_timers.remove(&(request.timer_at, query));
+            self.return_unsent_trial(now, &request, actions);
             self.intake.in_flight -= u32::from(request.terms.is_some());
             let rates = &mut self.rates;
             self.admissions.give_back(now, &mut request, rates);
@@ -268,6 +269,27 @@
         }
     }
 
+    /// Gives back the trials of a request that ends without having reached a replica. A closed port shows nothing
+    /// of the request.
+    pub(super) fn return_unsent_trial(
+        &mut self,
+        now: TimePoint,
+        request: &PendingRequest,
+        actions: &mut Vec<ForwardAction>,
+    ) {
+        let trial = request.trial.as_ref();
+        let Some(trial) = trial.filter(|trial| !trial.sent && !trial.passed) else {
+            return;
+        };
+        for print in &trial.prints {
+            self.crashes.return_trial(now, *print);
+            actions.push(ForwardAction::Log(LoggedEvent::TrialReturned {
+                query: request.query,
+                print: *print,
+            }));
+        }
+    }
+
     /// Refuses what has become due, and has the store keep and forget notices.
     pub(super) fn keep_crashes(&mut self, now: TimePoint, actions: &mut Vec<ForwardAction>) {
         for notice in self.crashes.due_checks(now) {
--- a/policy/tests/forward_crash_outages.rs
+++ b/policy/tests/forward_crash_outages.rs
@@ -64,6 +64,8 @@
     bench: CrashBench,
     random: Pcg64Mcg,
     hosts: u8,
+    /// Whether all send the same request.
+    one_form: bool,
     replicas: usize,
     work_time: Duration,
     interval: Duration,
@@ -94,6 +96,7 @@
         let interval_min = 4 * work_time / (SLOTS * replicas as u32);
         Self {
             hosts: random.random_range(1..=4),
+            one_form: false,
             replicas,
             work_time,
             interval: interval_min.max(ms(random.random_range(10..=60))),
@@ -123,7 +126,10 @@
     fn arrive(&mut self) {
         let daemon = self.random.random_range(0..self.bench.engines.len());
         let caller = [10, 0, 0, self.random.random_range(0..self.hosts)];
-        let target = format!("/p?name={}", self.requests.len());
+        let target = match self.one_form {
+            true => "/p".to_string(),
+            false => format!("/p?name={}", self.requests.len()),
+        };
         let identity = RequestIdentity::of("GET", "h", &target, b"", caller.into());
         let at = self.bench.now;
         let query = self.bench.arrive(daemon, identity);
@@ -255,6 +261,29 @@
     }
 }
 
+/// Guards against a harmless request of many callers that is refused for a day, because its trials were used up
+/// while all replicas of its service were down.
+#[test]
+fn a_trial_that_reaches_no_replica_is_not_used_up() {
+    for seed in 0..12 {
+        let mut run = OutageRun::new(seed);
+        (run.hosts, run.one_form) = (32, true);
+        run.play(ms(3_000));
+        for _ in 0..6 {
+            run.crash();
+            run.play(ms(5_000));
+            run.start_again();
+            run.play(ms(5_000));
+        }
+        let start = run.bench.now;
+        run.play(ms(8_000));
+        let served = run.served_share(start, run.bench.now - ms(1_000));
+        assert!(served >= SERVED_MIN, "seed {seed}: {served:.3}");
+        let refusal = run.longest_refusal();
+        assert!(refusal < REFUSAL_MAX, "seed {seed}: {refusal:?}");
+    }
+}
+
 /// Guards against a query over shards that is refused whole because a trial is denied for one shard, though
 /// the route allows an answer without it.
 #[test]
