--- a/policy/src/forward/crash_evidence.rs
+++ b/policy/src/forward/crash_evidence.rs
@@ -353,6 +353,7 @@
         }
     }
 
+    /// The keys under which crashes count against a part, one for each scope.
     pub(super) fn part_keys(&self, request: &PendingRequest, index: usize) -> [CrashKey; 3] {
         let service = &self.registry.services[request.parts[index].service].name;
         let identity = &request.identity;
--- a/policy/src/forward/crash_record.rs
+++ b/policy/src/forward/crash_record.rs
@@ -219,6 +219,7 @@
         notice.forgiven = notice.forgiven.max(refuted);
         if notice.evidence() == 0 {
             self.sites.forgive_all();
+            // None of the trials has shown that the request crashes replicas.
             notice.passed = notice.passed.max(notice.trials);
             // Replicas that end from now on are others, also if another daemon has taken the crashes back.
             self.third_end_at = TimePoint::NEVER;
--- a/policy/src/forward/crash_sites.rs
+++ b/policy/src/forward/crash_sites.rs
@@ -196,6 +196,8 @@
         self.cleared.contains(&site) && !relapsed
     }
 
+    /// Counts a success under a further form. Returns whether it was the one by which a crash at the service no
+    /// longer counts.
     fn record_further_success(&mut self, service: u32) -> bool {
         if !self.further.iter().any(|(known, _)| *known == service) {
             self.further.push((service, 0));
--- a/policy/src/forward/crash_table.rs
+++ b/policy/src/forward/crash_table.rs
@@ -1,10 +1,10 @@
 //! Refusal of requests that crash the replicas on which they run.
 //!
-//! Crashes are counted by fingerprint of the request: once with the caller, in exactly one form, once
-//! with the caller, in whatever form the caller sends it, and once in exactly one form for all callers
-//! together. They count over all services, because the route of a request may lead to another one. [`CrashSites`] tells to which
-//! forms and services a refusal applies. A crash counts if the request was sent to the replica after the
-//! previous crash that counted was seen. Crashes that are seen together, such as those of a rack or
+//! Crashes are counted by three fingerprints of the request ([`CrashScope`](super::CrashScope)): for one
+//! form of one caller, for all forms that the caller sends, and for one form of all callers. They count
+//! over all services, because the route of a request may lead to another one. [`CrashSites`] tells to
+//! which forms and services a refusal applies. A crash counts if the request was sent to the replica after
+//! the previous crash that counted was seen. Crashes that are seen together, such as those of a rack or
 //! of several shards of one query, may have one cause and count as one. The crash that makes a
 //! request refused must also be of a run that began some time after the first one, since the
 //! replicas of a rack may crash one after the other. A success of the request on a replica shows
@@ -53,7 +53,7 @@
     Duration::from_secs(600),
     Duration::from_secs(24 * 60 * 60),
 ];
-/// The same for all forms of a path together, whatever the crash. Harmless forms are refused too.
+/// The same for all forms of a path together, after any of these crashes. It holds harmless forms back too.
 const PATH_REFUSAL_PERIOD: Duration = Duration::from_secs(2);
 /// Time for which crashes are remembered, after the last one or after the end of a refusal.
 pub(super) const EVIDENCE_PERIOD: Duration = Duration::from_secs(600);
@@ -61,10 +61,11 @@
 const EXPIRY_MAX: Duration = Duration::from_secs(25 * 60 * 60);
 /// Requests for which crashes are remembered.
 const RECORDS_MAX: usize = 4_096;
-/// Delay before the other daemons learn of a first crash. Most requests that a crash hits by chance
-/// succeed on another replica within it, and are not reported. The end of this many replicas under one
-/// form is reported at once, also if it counts as one crash: each other daemon might lose as many more.
+/// Replicas whose end under one form is reported at once, also if it counts as one crash: each daemon that
+/// does not know of it might lose as many more.
 const REPORTED_ENDED: usize = 2;
+/// Delay before the other daemons learn of a first crash. Most requests that a crash hits by chance
+/// succeed on another replica within it, and are not reported.
 const REPORT_DELAY: Duration = Duration::from_millis(500);
 
 /// Counts crashes by request and decides which requests are refused.
@@ -218,6 +219,7 @@
         }
         let of_path = record.is_of_path();
         if of_path && known < REFUSAL_CRASHES && record.counts_sends(crash.sent_at) {
+            // No trial covered the send.
             record.notice.trials += 1;
         }
         let notice = &mut record.notice;
