--- a/policy/src/peers/contact_book.rs
+++ b/policy/src/peers/contact_book.rs
@@ -11,8 +11,8 @@
 };
 
 /// Time for which a daemon is alone before it looks for others in the store. At a start, most are found
-/// through the seeds before.
-const FIRST_READ_DELAY: Duration = Duration::from_secs(1);
+/// through the seeds before, also where all start together on slow VMs.
+const FIRST_READ_DELAY: Duration = Duration::from_secs(4);
 /// Pause between two reads of a daemon that is alone: the first, which doubles with each read, and the longest.
 const ALONE_INTERVAL_MIN: Duration = Duration::from_secs(2);
 const ALONE_INTERVAL_MAX: Duration = Duration::from_secs(16);
