--- a/daemon/src/forward/contact_store.rs
+++ b/daemon/src/forward/contact_store.rs
@@ -21,7 +21,6 @@
 use super::{
     forward_loop::ForwardLoop,
     inbox_event::InboxEvent,
-    settings_watch::SettingsChange,
     store_reader::{
         ReadError,
         StoreReader,
@@ -29,30 +28,11 @@
     },
 };
 use crate::{
-    daemon_error::DaemonError,
     events,
     log_event, //
 };
 
 impl ForwardLoop {
-    /// Applies the seeds of a changed settings file; the other settings stay as at the start.
-    pub(super) fn apply_settings(&mut self, now: TimePoint, change: SettingsChange) {
-        log_event!(
-            self.log.logger, events::SETTINGS_CHANGED,
-            "seeds" => addresses_text(&change.seeds), "not_applied" => change.fixed.join(","),
-        );
-        let addresses = change.seeds;
-        self.update_peers(now, PeerEvent::SeedsChanged { addresses });
-    }
-
-    /// Logs that the settings file can't be used.
-    pub(super) fn reject_settings(&self, error: &DaemonError) {
-        log_event!(
-            self.log.logger, events::SETTINGS_UNUSABLE,
-            "problem" => %error,
-        );
-    }
-
     /// Reads the record of contacts in a task of its own, if that is due.
     pub(super) fn read_contacts_if_due(&mut self, now: TimePoint) {
         let is_due = self.contacts.next_check() <= now;
@@ -129,7 +109,8 @@
     }
 }
 
-fn addresses_text(addresses: &[SocketAddr]) -> String {
+/// The addresses as one text for the log.
+pub(super) fn addresses_text(addresses: &[SocketAddr]) -> String {
     let texts: Vec<String> = addresses.iter().map(SocketAddr::to_string).collect();
     texts.join(",")
 }
--- a/daemon/src/forward/settings_watch.rs
+++ b/daemon/src/forward/settings_watch.rs
@@ -9,6 +9,8 @@
 };
 
 use platform::BootFile;
+use policy::peers::PeerEvent;
+use schema::TimePoint;
 use tokio::{
     sync::{
         mpsc::UnboundedSender,
@@ -17,8 +19,16 @@
     time::timeout, //
 };
 
-use super::inbox_event::InboxEvent;
-use crate::daemon_error::DaemonError;
+use super::{
+    contact_store::addresses_text,
+    forward_loop::ForwardLoop,
+    inbox_event::InboxEvent, //
+};
+use crate::{
+    daemon_error::DaemonError,
+    events,
+    log_event, //
+};
 
 /// Pause between two looks at the file.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
@@ -100,3 +110,23 @@
         Ok(Some(SettingsChange { seeds, fixed }))
     }
 }
+
+impl ForwardLoop {
+    /// Applies the seeds of a changed settings file; the other settings stay as at the start.
+    pub(super) fn apply_settings(&mut self, now: TimePoint, change: SettingsChange) {
+        log_event!(
+            self.log.logger, events::SETTINGS_CHANGED,
+            "seeds" => addresses_text(&change.seeds), "not_applied" => change.fixed.join(","),
+        );
+        let addresses = change.seeds;
+        self.update_peers(now, PeerEvent::SeedsChanged { addresses });
+    }
+
+    /// Logs that the settings file can't be used.
+    pub(super) fn reject_settings(&self, error: &DaemonError) {
+        log_event!(
+            self.log.logger, events::SETTINGS_UNUSABLE,
+            "problem" => %error,
+        );
+    }
+}
