--- a/daemon/src/events.rs
+++ b/daemon/src/events.rs
@@ -171,9 +171,6 @@
         "trial of a refused request claimed in the store; sent on if granted, else refused";
     /// A replica has run a trial to its end.
     TRIAL_PASSED = "E7034" Info "trial of a refused request succeeded; it takes none of the trials";
-    /// A trial has reached no replica.
-    TRIAL_RETURNED = "E7039" Info
-        "trial of a refused request reached no replica; it takes none of the trials";
     /// The store could not be told of crashes.
     CRASHES_NOT_KEPT = "E7035" Warning
         "can't keep the crashes under a request in the store; trying again in a second";
@@ -183,6 +180,9 @@
     ZONE_EVACUATED = "E7037" Info "data centre evacuated; sending its replicas no new requests";
     /// The operator has ended the evacuation of a data centre.
     ZONE_READMITTED = "E7038" Info "evacuation of the data centre ended; its replicas get requests again";
+    /// A trial has reached no replica.
+    TRIAL_RETURNED = "E7039" Info
+        "trial of a refused request reached no replica; it takes none of the trials";
     /// A request has no valid API key.
     KEY_REFUSED = "E7040" Info "request refused for lack of a valid API key; it did not run";
     /// The quota of a client account is used up.
