Let one daemon keep the record of contacts

Cause: three keepers read and wrote it in step, which made 15 calls of the store in the five seconds in which daemons_share_reads_of_the_store allows 13 to four daemons.

Change: the first live daemon by name keeps it, and names up to three live daemons at once instead of itself alone. Another one takes over with the next check of its role.

Measured: the test passes as it is; forward_seeds and peers_contacts pass, where the bound on reads is now 5 in a minute instead of 15.

--- a/policy/src/peers/contact_book.rs
+++ b/policy/src/peers/contact_book.rs
@@ -1,6 +1,7 @@
 //! How daemons find each other when no seed address leads to another one.
 
 use std::{
+    iter,
     net::SocketAddr,
     time::Duration, //
 };
@@ -38,7 +39,7 @@
 }
 
 /// Keeps the record of contacts in the platform's store: the addresses of a few live daemons, by which one
-/// whose seeds are stale, or a group of such daemons, finds the others. Three daemons read it every 15 s for
+/// whose seeds are stale, or a group of such daemons, finds the others. One daemon reads it every 15 s for
 /// all that know each other, so that its cost does not grow with the fleet.
 #[derive(Clone, Debug)]
 pub struct ContactBook {
@@ -132,11 +133,17 @@
                 addresses.retain(|known| known != address);
             }
         }
-        let live_count = addresses.iter().filter(|address| is_live(address)).count();
-        if live_count < CONTACTS_WANTED && !addresses.contains(&self.address) {
+        for candidate in iter::once(&self.address).chain(live) {
+            let named = addresses.iter().filter(|address| is_live(address));
+            if named.count() >= CONTACTS_WANTED {
+                break;
+            }
+            if addresses.contains(candidate) {
+                continue;
+            }
             self.make_room(now, &mut addresses);
             if addresses.len() < CONTACTS_MAX {
-                addresses.push(self.address);
+                addresses.push(*candidate);
             }
         }
         let has_unmet = addresses.iter().any(|address| *address != self.address);
--- a/policy/src/peers/peer_core.rs
+++ b/policy/src/peers/peer_core.rs
@@ -54,8 +54,6 @@
 const NOTE_SENDS_BASE: u32 = 3;
 /// Daemons of a data centre that watch the store.
 const WATCHERS_PER_ZONE: usize = 2;
-/// Daemons that keep the record of contacts.
-const CONTACT_KEEPERS: usize = 3;
 
 /// Tracks the daemons of a deployment and disseminates notes among them.
 ///
@@ -195,19 +193,15 @@
         higher_ranked < WATCHERS_PER_ZONE
     }
 
-    /// What this daemon has to do for the record of contacts. Its keepers are the first live daemons by name.
+    /// What this daemon has to do for the record of contacts. Its keeper is the first live daemon by name.
     pub fn contact_role(&self) -> ContactRole {
-        let alive = self.table.iter();
-        let mut others = alive.filter(|member| member.state == MemberState::Alive);
-        if others.next().is_none() {
-            return ContactRole::Alone;
-        }
-        let alive = self.table.iter();
-        let alive = alive.filter(|member| member.state == MemberState::Alive);
-        let earlier = alive.filter(|member| member.daemon < self.local.daemon);
-        match earlier.count() < CONTACT_KEEPERS {
-            true => ContactRole::Keeper,
-            false => ContactRole::Member,
+        let members = self.table.iter();
+        let mut others = members.filter(|member| member.state == MemberState::Alive);
+        // The members are in the order of their names.
+        match others.next() {
+            None => ContactRole::Alone,
+            Some(first) if first.daemon > self.local.daemon => ContactRole::Keeper,
+            Some(_) => ContactRole::Member,
         }
     }
 
--- a/policy/tests/peers_contacts.rs
+++ b/policy/tests/peers_contacts.rs
@@ -142,12 +142,8 @@
         let (reads, writes) = (fleet.reads, fleet.writes);
         fleet.run_for(Duration::from_secs(60));
         assert!(fleet.net.has_converged());
-        // Three keepers read every 15 s.
-        assert!(
-            fleet.reads - reads <= 15,
-            "{nodes}: {}",
-            fleet.reads - reads
-        );
+        // One keeper reads every 15 s.
+        assert!(fleet.reads - reads <= 5, "{nodes}: {}", fleet.reads - reads);
         assert!(fleet.writes - writes <= 1, "{nodes}");
     }
 }
